--- a/src/main/java/quillbay/Contract.java
+++ b/src/main/java/hookweir/Contract.java
@@ -1,4 +1,4 @@
-package quillbay;
+package hookweir;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/quillbay/Policy.java
+++ b/src/main/java/hookweir/Policy.java
@@ -1,15 +1,15 @@
-package quillbay;
+package hookweir;
 
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import quillbay.Contract.Effect;
-import quillbay.Contract.Outcome;
-import quillbay.Contract.RequestClass;
-import quillbay.Contract.Scope;
-import quillbay.Contract.State;
+import hookweir.Contract.Effect;
+import hookweir.Contract.Outcome;
+import hookweir.Contract.RequestClass;
+import hookweir.Contract.Scope;
+import hookweir.Contract.State;
 
 /**
  * Every decision of one dispatcher; the interface, with units and order of events, is in Contract.java.
--- a/src/main/java/quillbay/adapter/BadInput.java
+++ b/src/main/java/hookweir/adapter/BadInput.java
@@ -1,4 +1,4 @@
-package quillbay.adapter;
+package hookweir.adapter;
 
 /** The input does not follow the wire. The message says what is wrong and at which byte of the input. */
 final class BadInput extends Exception {
--- a/src/main/java/quillbay/adapter/FrameWriter.java
+++ b/src/main/java/hookweir/adapter/FrameWriter.java
@@ -1,4 +1,4 @@
-package quillbay.adapter;
+package hookweir.adapter;
 
 import java.io.IOException;
 import java.io.OutputStream;
--- a/src/main/java/quillbay/adapter/Main.java
+++ b/src/main/java/hookweir/adapter/Main.java
@@ -1,4 +1,4 @@
-package quillbay.adapter;
+package hookweir.adapter;
 
 import java.io.BufferedInputStream;
 import java.io.FileInputStream;
@@ -9,7 +9,7 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 
-/** Command line of the adapter: {@code java -jar quillbay.jar adapter}. */
+/** Command line of the adapter: {@code java -jar hookweir.jar adapter}. */
 public final class Main {
     private Main() {
     }
@@ -21,7 +21,7 @@
             InputStream in = new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16);
             status = run(in, new FileOutputStream(FileDescriptor.out), System.err);
         } else {
-            System.err.println("usage: java -jar quillbay.jar adapter   (the wire on standard input and output)");
+            System.err.println("usage: java -jar hookweir.jar adapter   (the wire on standard input and output)");
             status = 2;
         }
         System.err.flush();
@@ -34,10 +34,10 @@
             new Session(in, out).run();
             return 0;
         } catch (BadInput e) {
-            err.println("quillbay adapter: " + e.getMessage());
+            err.println("hookweir adapter: " + e.getMessage());
             return 1;
         } catch (IOException e) {
-            err.println("quillbay adapter: i/o failed: " + e.getMessage());
+            err.println("hookweir adapter: i/o failed: " + e.getMessage());
             return 1;
         }
     }
--- a/src/main/java/quillbay/adapter/Session.java
+++ b/src/main/java/hookweir/adapter/Session.java
@@ -1,4 +1,4 @@
-package quillbay.adapter;
+package hookweir.adapter;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -7,14 +7,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import quillbay.Contract;
-import quillbay.Contract.Outcome;
-import quillbay.Contract.Report;
-import quillbay.Contract.Request;
-import quillbay.Contract.Settings;
-import quillbay.Contract.State;
-import quillbay.Contract.Worker;
-import quillbay.Policy;
+import hookweir.Contract;
+import hookweir.Contract.Outcome;
+import hookweir.Contract.Report;
+import hookweir.Contract.Request;
+import hookweir.Contract.Settings;
+import hookweir.Contract.State;
+import hookweir.Contract.Worker;
+import hookweir.Policy;
 
 /** Translates batches of the wire into events of {@link Contract} and its actions into replies. */
 final class Session {
--- a/src/main/java/quillbay/adapter/SettingsParser.java
+++ b/src/main/java/hookweir/adapter/SettingsParser.java
@@ -1,14 +1,14 @@
-package quillbay.adapter;
+package hookweir.adapter;
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
-import quillbay.Contract.Effect;
-import quillbay.Contract.ReportsBy;
-import quillbay.Contract.RequestClass;
-import quillbay.Contract.Scope;
-import quillbay.Contract.Settings;
-import quillbay.Contract.SizeFigure;
+import hookweir.Contract.Effect;
+import hookweir.Contract.ReportsBy;
+import hookweir.Contract.RequestClass;
+import hookweir.Contract.Scope;
+import hookweir.Contract.Settings;
+import hookweir.Contract.SizeFigure;
 
 /** Reads the path=value lines of START. Keys that it does not know are ignored; missing ones keep the defaults. */
 final class SettingsParser {
--- a/src/main/java/quillbay/adapter/WireHost.java
+++ b/src/main/java/hookweir/adapter/WireHost.java
@@ -1,6 +1,6 @@
-package quillbay.adapter;
+package hookweir.adapter;
 
-import quillbay.Contract;
+import hookweir.Contract;
 
 /** Writes the actions of one instance as records of the reply. */
 final class WireHost implements Contract.Host {
--- a/src/test/java/quillbay/EmbeddingExampleTest.java
+++ b/src/test/java/hookweir/EmbeddingExampleTest.java
@@ -1,4 +1,4 @@
-package quillbay;
+package hookweir;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/src/test/java/quillbay/ModuleLimitsTest.java
+++ b/src/test/java/hookweir/ModuleLimitsTest.java
@@ -1,4 +1,4 @@
-package quillbay;
+package hookweir;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -10,7 +10,7 @@
 
 /** The module is ported by hand one day: it stays small and names its interface. */
 class ModuleLimitsTest {
-    private static final Path MODULE = Path.of("src/main/java/quillbay/Policy.java");
+    private static final Path MODULE = Path.of("src/main/java/hookweir/Policy.java");
 
     @Test
     void linesAndWidth() throws IOException {
--- a/src/test/java/quillbay/PolicyDrawTest.java
+++ b/src/test/java/hookweir/PolicyDrawTest.java
@@ -1,9 +1,9 @@
-package quillbay;
+package hookweir;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static quillbay.RecordingHost.settings;
-import static quillbay.RecordingHost.worker;
+import static hookweir.RecordingHost.settings;
+import static hookweir.RecordingHost.worker;
 
 import java.util.Collections;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/quillbay/PolicyRulesTest.java
+++ b/src/test/java/hookweir/PolicyRulesTest.java
@@ -1,18 +1,18 @@
-package quillbay;
+package hookweir;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static quillbay.RecordingHost.settings;
-import static quillbay.RecordingHost.worker;
+import static hookweir.RecordingHost.settings;
+import static hookweir.RecordingHost.worker;
 
 import java.util.HashSet;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import quillbay.Contract.Effect;
-import quillbay.Contract.Outcome;
+import hookweir.Contract.Effect;
+import hookweir.Contract.Outcome;
 
 /** The four rules, and answers to failures. */
 class PolicyRulesTest {
--- a/src/test/java/quillbay/adapter/SessionTest.java
+++ b/src/test/java/hookweir/adapter/SessionTest.java
@@ -1,4 +1,4 @@
-package quillbay.adapter;
+package hookweir.adapter;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -14,7 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import quillbay.Contract;
+import hookweir.Contract;
 
 /** The wire, on frames put together here from its layout. */
 class SessionTest {
@@ -276,7 +276,7 @@
         int status = Main.run(new ByteArrayInputStream(hex("0000")), out, new PrintStream(err));
         assertEquals(1, status);
         assertEquals(0, out.size());
-        assertEquals("quillbay adapter: input ends inside a frame header at byte 2", err.toString().strip());
+        assertEquals("hookweir adapter: input ends inside a frame header at byte 2", err.toString().strip());
         assertEquals(0, Main.run(new ByteArrayInputStream(new byte[0]), out, new PrintStream(err)));
     }
 
