--- a/src/main/java/hookweir/adapter/SettingsParser.java
+++ b/src/main/java/hookweir/adapter/SettingsParser.java
@@ -1,38 +1,25 @@
 package hookweir.adapter;
 
+import hookweir.Contract.Settings;
+import hookweir.config.BadSetting;
+import hookweir.config.SettingsMapping;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
-import hookweir.Contract.Effect;
-import hookweir.Contract.ReportsBy;
-import hookweir.Contract.RequestClass;
-import hookweir.Contract.Scope;
-import hookweir.Contract.Settings;
-import hookweir.Contract.SizeFigure;
 
-/** Reads the path=value lines of START. Keys that it does not know are ignored; missing ones keep the defaults. */
+/** Reads the path=value lines of START; what they mean is said by {@link SettingsMapping}. */
 final class SettingsParser {
-    private static final int MOST_ITEMS = 10_000;
-
-    final Settings settings = new Settings();
-    String[] reportFields = new String[0];
+    final Settings settings;
+    final String[] reportFields;
 
-    private final Map<String, String> values = new HashMap<>();
-    private final Map<String, Long> places = new HashMap<>();
-    private final long start;
-
-    private SettingsParser(long start) {
-        this.start = start;
+    private SettingsParser(SettingsMapping mapped) {
+        settings = mapped.settings;
+        reportFields = mapped.reportFields;
     }
 
     static SettingsParser parse(byte[] info, long atByte) throws BadInput {
-        SettingsParser p = new SettingsParser(atByte);
-        p.split(info);
-        p.read();
-        return p;
-    }
-
-    private void split(byte[] info) throws BadInput {
+        Map<String, String> values = new HashMap<>();
+        Map<String, Long> places = new HashMap<>();
         int from = 0;
         while (from < info.length) {
             int to = from;
@@ -43,157 +30,16 @@
             int eq = line.indexOf('=');
             if (eq > 0) {
                 values.put(line.substring(0, eq), line.substring(eq + 1));
-                places.put(line.substring(0, eq), start + from);
+                places.put(line.substring(0, eq), atByte + from);
             } else if (!line.isEmpty()) {
-                throw new BadInput("setting without '='", start + from);
+                throw new BadInput("setting without '='", atByte + from);
             }
             from = to + 1;
         }
-    }
-
-    private void read() throws BadInput {
-        Settings s = settings;
-        int n = count("classes.count");
-        for (int i = 0; i < n; i++) {
-            s.classes.add(readClass("classes." + i + ".", i));
-        }
-        n = count("orgs.count");
-        s.tenantRate = new double[n];
-        for (int i = 0; i < n; i++) {
-            s.tenantRate[i] = number("orgs." + i + ".allowance_per_s", 0);
-        }
-        s.me = (int) whole("me", 0);
-        s.dispatchers = (int) whole("instances", 1);
-        s.zone = (int) whole("zone", 0);
-        s.askForList = word("discovery", "push").equals("ask");
-        s.askWithinUs = whole("rules.ask_within_us", 0);
-        s.drainGraceUs = whole("rules.drain_grace_us", 0);
-        s.coldShare = number("rules.cold_share", s.coldShare);
-        s.warmWithinUs = whole("rules.warm_within_us", 0);
-        s.fallMultiple = number("rules.fall_multiple", s.fallMultiple);
-        s.fallUs = whole("rules.fall_us", s.fallUs);
-        s.answerSlackUs = whole("rules.answer_slack_us", 0);
-        s.tickUs = whole("tick_us", s.tickUs);
-        s.maxAttempts = (int) whole("limits.max_attempts", 1);
-        s.secondCopies = flag("limits.second_copies");
-        s.cancels = flag("limits.cancel");
-        s.probes = flag("limits.probes");
-        s.peers = flag("limits.peers");
-        s.comeBackAdvice = flag("limits.retry_after");
-        s.maxComeBackUs = whole("limits.max_retry_after_us", 0);
-        s.reports = switch (word("stats.via", "silent")) {
-            case "piggyback" -> ReportsBy.ANSWERS_AND_PROBES;
-            case "pull" -> ReportsBy.PROBES;
-            default -> ReportsBy.NEVER;
-        };
-        s.sizes = switch (word("weights", "silent")) {
-            case "live" -> SizeFigure.LIVE;
-            case "nominal", "rough" -> SizeFigure.NOMINAL;
-            default -> SizeFigure.NONE;
-        };
-        s.priceOrigin = number("prices.origin", 0);
-        s.priceCrossZone = number("prices.cross_zone", 0);
-        s.priceProbe = number("prices.probe", 0);
-        s.pricePeer = number("prices.peer", 0);
-        s.priceWaste = number("prices.waste", 0);
-        s.priceLateFail = number("prices.late_fail", 0);
-        s.overShareWorth = number("over_share_worth", 1);
-        s.tellsStart = flag("family_info.tells_start");
-        s.progressUs = whole("family_info.progress_us", 0);
-        s.headBlocks = word("family_info.queue_order", "fifo").equals("fifo");
-        String fields = word("stats.fields", "");
-        reportFields = fields.isEmpty() ? new String[0] : fields.split(",");
-    }
-
-    private RequestClass readClass(String path, int index) throws BadInput {
-        RequestClass c = new RequestClass();
-        c.aimUs = whole(path + "aim_us", c.aimUs);
-        c.stretch = number(path + "aim_stretch", item("family_info.class_stretch", index, 0));
-        c.deadlineUs = whole(path + "deadline_us", c.deadlineUs);
-        c.worth = number(path + "importance", 1);
-        c.lateWorth = number(path + "late_value", 0);
-        c.windowUs = whole(path + "window_us", 0);
-        c.kind = (int) item("family_info.class_kind", index, -1);
-        c.priority = (int) item("family_info.class_priority", index, 0);
-        String effect = word(path + "semantics", "non_idempotent");
-        c.effect = switch (effect) {
-            case "read_like" -> Effect.SAFE;
-            case "idempotency_key" -> Effect.KEYED;
-            case "non_idempotent" -> Effect.UNSAFE;
-            default -> throw bad(path + "semantics", effect);
-        };
-        String scope = word(path + "key_scope", "cell");
-        c.scope = switch (scope) {
-            case "all" -> Scope.ALL;
-            case "zone" -> Scope.ZONE;
-            case "cell" -> Scope.CELL;
-            default -> throw bad(path + "key_scope", scope);
-        };
-        return c;
-    }
-
-    private BadInput bad(String key, String value) {
-        return new BadInput("setting " + key + " has the unusable value '" + value + "'", places.getOrDefault(key, start));
-    }
-
-    private String word(String key, String otherwise) {
-        return values.getOrDefault(key, otherwise);
-    }
-
-    private boolean flag(String key) throws BadInput {
-        String v = values.get(key);
-        if (v == null || v.equals("false")) {
-            return false;
-        }
-        if (v.equals("true")) {
-            return true;
-        }
-        throw bad(key, v);
-    }
-
-    private int count(String key) throws BadInput {
-        long n = whole(key, 0);
-        if (n < 0 || n > MOST_ITEMS) {
-            throw bad(key, values.get(key));
-        }
-        return (int) n;
-    }
-
-    private long whole(String key, long otherwise) throws BadInput {
-        String v = values.get(key);
-        if (v == null || v.isEmpty()) {
-            return otherwise;
-        }
-        try {
-            return Long.parseLong(v);
-        } catch (NumberFormatException e) {
-            return (long) parse(key, v);
-        }
-    }
-
-    private double number(String key, double otherwise) throws BadInput {
-        String v = values.get(key);
-        return v == null || v.isEmpty() ? otherwise : parse(key, v);
-    }
-
-    private double item(String key, int index, double otherwise) throws BadInput {
-        String v = values.get(key);
-        if (v == null || v.isEmpty()) {
-            return otherwise;
-        }
-        String[] parts = v.split(",");
-        return index < parts.length ? parse(key, parts[index]) : otherwise;
-    }
-
-    private double parse(String key, String v) throws BadInput {
         try {
-            double d = Double.parseDouble(v);
-            if (Double.isFinite(d)) {
-                return d;
-            }
-        } catch (NumberFormatException e) {
-            // falls through to the plain message
+            return new SettingsParser(SettingsMapping.of(values));
+        } catch (BadSetting e) {
+            throw new BadInput(e.getMessage(), places.getOrDefault(e.key, atByte));
         }
-        throw bad(key, v);
     }
 }
--- /dev/null
+++ b/src/main/java/hookweir/config/ConfigReader.java
@@ -0,0 +1,154 @@
+package hookweir.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+
+/** The one place where configuration is read, checked and given defaults. */
+public final class ConfigReader {
+    private static final int DEFAULT_SOCKETS = 1024;
+    private static final int LEAST_SOCKETS = 64;
+
+    private ConfigReader() {
+    }
+
+    /** Reads the file that RELAY_CONFIG names; the other RELAY_ variables, where set, win over its keys. */
+    public static Config fromEnvironment(Map<String, String> env) throws BadSetting {
+        String file = env.get("RELAY_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new BadSetting("RELAY_CONFIG", "is not set: it names the configuration file");
+        }
+        return fromFile(Path.of(file), env);
+    }
+
+    /** Reads one file. */
+    public static Config fromFile(Path file, Map<String, String> env) throws BadSetting {
+        JsonNode root;
+        try {
+            root = new ObjectMapper().readTree(Files.readAllBytes(file));
+        } catch (IOException e) {
+            throw new BadSetting("RELAY_CONFIG", "names a file that can't be read as JSON: " + e.getMessage());
+        }
+        return of(root, env);
+    }
+
+    /** Checks a parsed configuration. */
+    static Config of(JsonNode root, Map<String, String> env) throws BadSetting {
+        if (root == null || !root.isObject()) {
+            throw new BadSetting("RELAY_CONFIG", "must hold a JSON object");
+        }
+        JsonNode nested = root.path("settings");
+        if (!nested.isObject()) {
+            throw new BadSetting("settings", "must be an object");
+        }
+        Map<String, String> pairs = new HashMap<>();
+        flatten("", nested, pairs);
+        SettingsMapping settings = SettingsMapping.of(pairs);
+        if (settings.settings.classes.isEmpty()) {
+            throw new BadSetting("settings.classes", "must list at least one class");
+        }
+        if (settings.dialTimeoutUs <= 0) {
+            throw new BadSetting("limits.dial_timeout_us", "must be above 0");
+        }
+        if (settings.connIdleUs <= 0) {
+            throw new BadSetting("limits.conn_idle_us", "must be above 0");
+        }
+        JsonNode known = root.path("known");
+        if (!known.isMissingNode() && !known.isNull() && !known.path("servers").isArray()) {
+            throw new BadSetting("known", "must hold a list 'servers'");
+        }
+        return new Config(text(root, "name", env, "RELAY_NAME", "hookweir"),
+            address("listen", text(root, "listen", env, "RELAY_LISTEN", "")),
+            address("discovery", text(root, "discovery", env, "RELAY_DISCOVERY", "")),
+            seed(root), sockets(root), known.isObject() ? known : null, settings);
+    }
+
+    private static int sockets(JsonNode root) throws BadSetting {
+        JsonNode n = root.path("limits").path("sockets");
+        if (n.isMissingNode() || n.isNull()) {
+            return DEFAULT_SOCKETS;
+        }
+        if (!n.isNumber() || n.asInt() < LEAST_SOCKETS) {
+            throw new BadSetting("limits.sockets", "must be a number of at least " + LEAST_SOCKETS);
+        }
+        return n.asInt();
+    }
+
+    private static long seed(JsonNode root) throws BadSetting {
+        JsonNode n = root.path("seed");
+        if (n.isMissingNode() || n.isNull()) {
+            return System.nanoTime();
+        }
+        try {
+            return n.isNumber() ? n.asLong() : Long.parseUnsignedLong(n.asText(), 16);
+        } catch (NumberFormatException e) {
+            throw new BadSetting("seed", "must be a number or up to 16 hex digits");
+        }
+    }
+
+    private static String text(JsonNode root, String key, Map<String, String> env, String variable,
+            String otherwise) {
+        String told = env.get(variable);
+        return told != null && !told.isEmpty() ? told : root.path(key).asText(otherwise);
+    }
+
+    /** A host:port pair; the host is an address, as there is no DNS. */
+    static InetSocketAddress address(String key, String text) throws BadSetting {
+        InetSocketAddress at = parseAddress(text);
+        if (at == null) {
+            throw new BadSetting(key, "must be ADDRESS:PORT, not '" + text + "'");
+        }
+        return at;
+    }
+
+    /** Null where the text is no ADDRESS:PORT with a numeric address, as no name can be resolved here. */
+    public static InetSocketAddress parseAddress(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0 || colon == text.length() - 1 || !text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
+            return null;
+        }
+        try {
+            InetSocketAddress at = new InetSocketAddress(text.substring(0, colon),
+                Integer.parseInt(text.substring(colon + 1)));
+            return at.isUnresolved() ? null : at;
+        } catch (IllegalArgumentException e) {
+            return null;
+        }
+    }
+
+    /** Nested JSON as the wire has it: plain lists joined with commas, lists of objects counted and numbered. */
+    static void flatten(String path, JsonNode node, Map<String, String> into) {
+        String dot = path.isEmpty() ? "" : path + ".";
+        if (node.isObject()) {
+            for (Iterator<Map.Entry<String, JsonNode>> it = node.fields(); it.hasNext();) {
+                Map.Entry<String, JsonNode> e = it.next();
+                flatten(dot + e.getKey(), e.getValue(), into);
+            }
+        } else if (node.isArray() && !node.isEmpty() && node.get(0).isContainerNode()) {
+            into.put(dot + "count", Integer.toString(node.size()));
+            for (int i = 0; i < node.size(); i++) {
+                flatten(dot + i, node.get(i), into);
+            }
+        } else if (node.isArray()) {
+            StringBuilder joined = new StringBuilder();
+            for (JsonNode item : node) {
+                joined.append(joined.length() == 0 ? "" : ",").append(wireWord(item.asText()));
+            }
+            into.put(path, joined.toString());
+        } else if (!node.isNull()) {
+            into.put(path, wireWord(node.asText()));
+        }
+    }
+
+    /** A value as the wire would carry it: spaces and commas become underscores. */
+    public static String wireWord(String value) {
+        return value.replace(' ', '_').replace(',', '_');
+    }
+}
--- /dev/null
+++ b/src/main/java/hookweir/config/SettingsMapping.java
@@ -0,0 +1,200 @@
+package hookweir.config;
+
+import hookweir.Contract.Effect;
+import hookweir.Contract.ReportsBy;
+import hookweir.Contract.RequestClass;
+import hookweir.Contract.Scope;
+import hookweir.Contract.Settings;
+import hookweir.Contract.SizeFigure;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The one mapping from settings, as path=value pairs, to {@link Settings}: the adapter gets the pairs from the
+ * wire, {@link ConfigReader} by flattening JSON. Unknown keys are ignored; missing ones keep the defaults.
+ */
+public final class SettingsMapping {
+    private static final int MOST_ITEMS = 10_000;
+
+    /** What the module is told. */
+    public final Settings settings = new Settings();
+    /** Names of a load report's figures, in their order. */
+    public String[] reportFields = new String[0];
+    /** Class, zone and kind names; a name's place is its number. */
+    public final List<String> classNames = new ArrayList<>();
+    public String[] zones = new String[0];
+    public String[] kinds = new String[0];
+    /** A connection not up by then counts as failed. */
+    public long dialTimeoutUs;
+    /** Idle connections are closed by the worker's machine after this. */
+    public long connIdleUs;
+
+    private final Map<String, String> values;
+
+    private SettingsMapping(Map<String, String> values) {
+        this.values = values;
+    }
+
+    /** Maps the pairs; a value that can't be used is reported with its key. */
+    public static SettingsMapping of(Map<String, String> values) throws BadSetting {
+        SettingsMapping p = new SettingsMapping(values);
+        p.read();
+        return p;
+    }
+
+    private void read() throws BadSetting {
+        Settings s = settings;
+        int n = count("classes.count");
+        for (int i = 0; i < n; i++) {
+            s.classes.add(readClass("classes." + i + ".", i));
+            classNames.add(word("classes." + i + ".name", ""));
+        }
+        n = count("orgs.count");
+        s.tenantRate = new double[n];
+        for (int i = 0; i < n; i++) {
+            s.tenantRate[i] = number("orgs." + i + ".allowance_per_s", 0);
+        }
+        s.me = (int) whole("me", 0);
+        s.dispatchers = (int) whole("instances", 1);
+        s.zone = (int) whole("zone", 0);
+        s.askForList = word("discovery", "push").equals("ask");
+        s.askWithinUs = whole("rules.ask_within_us", 0);
+        s.drainGraceUs = whole("rules.drain_grace_us", 0);
+        s.coldShare = number("rules.cold_share", s.coldShare);
+        s.warmWithinUs = whole("rules.warm_within_us", 0);
+        s.fallMultiple = number("rules.fall_multiple", s.fallMultiple);
+        s.fallUs = whole("rules.fall_us", s.fallUs);
+        s.answerSlackUs = whole("rules.answer_slack_us", 0);
+        s.tickUs = whole("tick_us", s.tickUs);
+        s.maxAttempts = (int) whole("limits.max_attempts", 1);
+        s.secondCopies = flag("limits.second_copies");
+        s.cancels = flag("limits.cancel");
+        s.probes = flag("limits.probes");
+        s.peers = flag("limits.peers");
+        s.comeBackAdvice = flag("limits.retry_after");
+        s.maxComeBackUs = whole("limits.max_retry_after_us", 0);
+        s.reports = switch (word("stats.via", "silent")) {
+            case "piggyback" -> ReportsBy.ANSWERS_AND_PROBES;
+            case "pull" -> ReportsBy.PROBES;
+            default -> ReportsBy.NEVER;
+        };
+        s.sizes = switch (word("weights", "silent")) {
+            case "live" -> SizeFigure.LIVE;
+            case "nominal", "rough" -> SizeFigure.NOMINAL;
+            default -> SizeFigure.NONE;
+        };
+        s.priceOrigin = number("prices.origin", 0);
+        s.priceCrossZone = number("prices.cross_zone", 0);
+        s.priceProbe = number("prices.probe", 0);
+        s.pricePeer = number("prices.peer", 0);
+        s.priceWaste = number("prices.waste", 0);
+        s.priceLateFail = number("prices.late_fail", 0);
+        s.overShareWorth = number("over_share_worth", 1);
+        s.tellsStart = flag("family_info.tells_start");
+        s.progressUs = whole("family_info.progress_us", 0);
+        s.headBlocks = word("family_info.queue_order", "fifo").equals("fifo");
+        reportFields = names("stats.fields");
+        zones = names("zones");
+        kinds = names("kinds");
+        dialTimeoutUs = whole("limits.dial_timeout_us", 250_000);
+        connIdleUs = whole("limits.conn_idle_us", 15_000_000);
+    }
+
+    private RequestClass readClass(String path, int index) throws BadSetting {
+        RequestClass c = new RequestClass();
+        c.aimUs = whole(path + "aim_us", c.aimUs);
+        c.stretch = number(path + "aim_stretch", item("family_info.class_stretch", index, 0));
+        c.deadlineUs = whole(path + "deadline_us", c.deadlineUs);
+        c.worth = number(path + "importance", 1);
+        c.lateWorth = number(path + "late_value", 0);
+        c.windowUs = whole(path + "window_us", 0);
+        c.kind = (int) item("family_info.class_kind", index, -1);
+        c.priority = (int) item("family_info.class_priority", index, 0);
+        String effect = word(path + "semantics", "non_idempotent");
+        c.effect = switch (effect) {
+            case "read_like" -> Effect.SAFE;
+            case "idempotency_key" -> Effect.KEYED;
+            case "non_idempotent" -> Effect.UNSAFE;
+            default -> throw bad(path + "semantics", effect);
+        };
+        String scope = word(path + "key_scope", "cell");
+        c.scope = switch (scope) {
+            case "all" -> Scope.ALL;
+            case "zone" -> Scope.ZONE;
+            case "cell" -> Scope.CELL;
+            default -> throw bad(path + "key_scope", scope);
+        };
+        return c;
+    }
+
+    private static BadSetting bad(String key, String value) {
+        return new BadSetting(key, "has the unusable value '" + value + "'");
+    }
+
+    private String[] names(String key) {
+        String list = word(key, "");
+        return list.isEmpty() ? new String[0] : list.split(",");
+    }
+
+    private String word(String key, String otherwise) {
+        return values.getOrDefault(key, otherwise);
+    }
+
+    private boolean flag(String key) throws BadSetting {
+        String v = values.get(key);
+        if (v == null || v.equals("false")) {
+            return false;
+        }
+        if (v.equals("true")) {
+            return true;
+        }
+        throw bad(key, v);
+    }
+
+    private int count(String key) throws BadSetting {
+        long n = whole(key, 0);
+        if (n < 0 || n > MOST_ITEMS) {
+            throw bad(key, values.get(key));
+        }
+        return (int) n;
+    }
+
+    private long whole(String key, long otherwise) throws BadSetting {
+        String v = values.get(key);
+        if (v == null || v.isEmpty()) {
+            return otherwise;
+        }
+        try {
+            return Long.parseLong(v);
+        } catch (NumberFormatException e) {
+            return (long) parse(key, v);
+        }
+    }
+
+    private double number(String key, double otherwise) throws BadSetting {
+        String v = values.get(key);
+        return v == null || v.isEmpty() ? otherwise : parse(key, v);
+    }
+
+    private double item(String key, int index, double otherwise) throws BadSetting {
+        String v = values.get(key);
+        if (v == null || v.isEmpty()) {
+            return otherwise;
+        }
+        String[] parts = v.split(",");
+        return index < parts.length ? parse(key, parts[index]) : otherwise;
+    }
+
+    private double parse(String key, String v) throws BadSetting {
+        try {
+            double d = Double.parseDouble(v);
+            if (Double.isFinite(d)) {
+                return d;
+            }
+        } catch (NumberFormatException e) {
+            // falls through to the plain message
+        }
+        throw bad(key, v);
+    }
+}
--- /dev/null
+++ b/src/main/java/hookweir/net/Hop.java
@@ -0,0 +1,178 @@
+package hookweir.net;
+
+import hookweir.Contract.Outcome;
+import hookweir.Contract.Report;
+import hookweir.net.egress.Egress;
+import hookweir.net.egress.EgressTarget;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+
+/**
+ * One attempt: from {@link SocketHost#send} to its one outcome. Owns the link that it is sent on until the
+ * worker's answer is whole. Belongs to the loop.
+ */
+final class Hop implements Link.Handler {
+    /** The answer to a call for which nobody waits any more is read for so long, to keep the link. */
+    private static final long PATIENCE_US = 5_000_000;
+
+    private enum Stage { DIALLING, SENDING, SENT, TAKEN, GIVING_UP, OVER }
+
+    final Exchange exchange;
+    final int workerId;
+    /** Null where the list names no such worker; then nothing is ever sent. */
+    final EgressTarget target;
+    final int number;
+    private final SocketHost host;
+    private final Egress egress;
+    private final long startUs;
+    private Stage stage = Stage.DIALLING;
+    private Link link;
+    private Loop.Timer limit;
+    private int status;
+
+    Hop(SocketHost host, Egress egress, Exchange exchange, int workerId, EgressTarget target, int number,
+            long startUs) {
+        this.host = host;
+        this.egress = egress;
+        this.exchange = exchange;
+        this.workerId = workerId;
+        this.target = target;
+        this.number = number;
+        this.startUs = startUs;
+    }
+
+    /** Sends it; stops waiting after so long. */
+    void start(long withinUs) {
+        limit = host.loop().after(withinUs, () -> giveUp(Outcome.TIMEOUT));
+        Link got = egress.link(target, this);
+        if (got == null) {
+            over(Outcome.CONNECT_FAILED, null, null);
+        } else if (!over()) {
+            link = got;
+        }
+    }
+
+    /** Ends it before anything of it left: it went to no target. */
+    void never(Outcome outcome) {
+        limit = host.loop().after(0, () -> { });
+        over(outcome, null, null);
+    }
+
+    boolean over() {
+        return stage == Stage.OVER;
+    }
+
+    /** The worker may know of it: call-backs can be meant for it. */
+    boolean sent() {
+        return stage != Stage.DIALLING && stage != Stage.OVER;
+    }
+
+    @Override
+    public void up(Link up) {
+        link = up;
+        if (stage != Stage.DIALLING) {
+            egress.release(target, up, true);
+            return;
+        }
+        // Guards rule 3: a drain counts from a send's first byte, and the dial took its time.
+        if (!target.ready()) {
+            egress.release(target, up, true);
+            over(Outcome.CONNECT_FAILED, null, null);
+            return;
+        }
+        stage = Stage.SENDING;
+        var from = exchange.from;
+        var h = from.headers();
+        long leftMs = Math.max(1, (exchange.request.giveUpAtUs - host.loop().nowUs()) / 1000);
+        HttpRequestPacket.Builder head = Link.head(from.method(), from.path(), from.query(), target.address())
+            .header("Req-Id", h.id()).header("Req-Kind", h.kind()).header("Req-Deadline-Ms", Long.toString(leftMs))
+            .contentLength(exchange.body.remaining());
+        if (h.idempotencyKey() != null) {
+            head.header("Idempotency-Key", h.idempotencyKey());
+        }
+        if (h.contentType() != null) {
+            head.header("Content-Type", h.contentType());
+        }
+        up.call(head.build(), host.copy(exchange.body), this);
+    }
+
+    @Override
+    public void written(Link l) {
+        if (stage == Stage.SENDING) {
+            stage = Stage.SENT;
+        }
+    }
+
+    @Override
+    public void piece(Link l, Link.Piece piece) {
+        status = piece.status();
+        if (!piece.last()) {
+            return;
+        }
+        egress.release(target, l, piece.keepAlive());
+        link = null;
+        if (stage != Stage.SENDING && stage != Stage.SENT) {
+            return;
+        }
+        if (status == 202) {
+            stage = Stage.TAKEN;
+        } else if ((status == 503 || status == 504) && piece.declined()) {
+            over(Outcome.FULL, host.report(piece.load()), null);
+        } else {
+            over(Outcome.ERROR, host.report(piece.load()), null);
+        }
+    }
+
+    @Override
+    public void down(Link l) {
+        egress.end(l);
+        link = null;
+        if (stage == Stage.DIALLING || stage == Stage.SENDING) {
+            over(Outcome.CONNECT_FAILED, null, null);
+        } else if (stage == Stage.SENT) {
+            over(Outcome.RESET, null, null);
+        }
+    }
+
+    /** A call-back that ends it. */
+    void told(Outcome outcome, Report report, byte[] result) {
+        if (link != null && !over()) {
+            // It came before the 202, which is still read for the link's sake, but not for ever.
+            Link kept = link;
+            host.loop().after(PATIENCE_US, () -> {
+                if (link == kept) {
+                    egress.end(kept);
+                }
+            });
+        }
+        over(outcome, report, result);
+    }
+
+    /** Stops waiting for it, and lets the worker know. */
+    void giveUp(Outcome outcome) {
+        switch (stage) {
+            case DIALLING -> {
+                // A dial that comes up late all the same is kept for the next hop.
+                over(outcome, null, null);
+            }
+            case SENDING, SENT -> {
+                egress.end(link);
+                link = null;
+                over(outcome, null, null);
+            }
+            case TAKEN -> {
+                stage = Stage.GIVING_UP;
+                host.delete(this, () -> over(outcome, null, null));
+            }
+            default -> { }
+        }
+    }
+
+    private void over(Outcome outcome, Report report, byte[] result) {
+        if (stage == Stage.OVER) {
+            return;
+        }
+        stage = Stage.OVER;
+        limit.cancel();
+        host.hopOver(this, outcome, host.loop().nowUs() - startUs, report, result);
+    }
+}
--- /dev/null
+++ b/src/main/java/hookweir/net/Link.java
@@ -0,0 +1,173 @@
+package hookweir.net;
+
+import java.net.InetSocketAddress;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.CompletionHandler;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+
+/**
+ * One outgoing connection, which carries one call at a time. Its state belongs to the {@link Loop}; its
+ * handler is called there only. Nothing here sends a call twice.
+ */
+public final class Link {
+    /** What becomes of a dial or a call. */
+    public interface Handler {
+        /** The dial succeeded; nothing has been sent. */
+        default void up(Link link) {
+        }
+
+        /** The last byte of the call is with the kernel. */
+        default void written(Link link) {
+        }
+
+        /** A piece of the answer; the last one ends it. */
+        void piece(Link link, Piece piece);
+
+        /** The connection failed to come up, broke or was ended by the peer. Nothing follows. */
+        void down(Link link);
+    }
+
+    /**
+     * A piece of an answer.
+     *
+     * @param status its status
+     * @param declined the worker says that it turned the job away
+     * @param load the load report in the header, or null
+     * @param keepAlive the connection may carry another call
+     * @param bytes so much of the body
+     * @param last the answer is whole
+     */
+    public record Piece(int status, boolean declined, String load, boolean keepAlive, byte[] bytes, boolean last) {
+    }
+
+    private final Loop loop;
+    private final Loop.Timer dialLimit;
+    private Handler handler;
+    private Connection<?> connection;
+    private boolean isUp;
+    private boolean isDown;
+    private boolean calling;
+    private boolean written;
+    private Piece unframed;
+
+    /** Set by its pool when it was last put aside. */
+    public long idleSinceUs;
+
+    Link(Loop loop, long dialLimitUs, Handler handler) {
+        this.loop = loop;
+        this.handler = handler;
+        dialLimit = loop.after(dialLimitUs, this::dialLate);
+    }
+
+    /** Guards against a machine that vanished: its connections never come up, and nobody says so. */
+    private void dialLate() {
+        if (!isUp) {
+            fallDown();
+        }
+    }
+
+    /** From the selector: the dial succeeded. */
+    void connected(Connection<?> c) {
+        loop.post(() -> {
+            if (isDown) {
+                c.closeSilently();
+                return;
+            }
+            connection = c;
+            isUp = true;
+            dialLimit.cancel();
+            handler.up(this);
+        });
+    }
+
+    /** From the selector: the dial failed or the connection ended. */
+    void ended() {
+        loop.post(this::fallDown);
+    }
+
+    private void fallDown() {
+        if (isDown) {
+            return;
+        }
+        close();
+        if (unframed != null) {
+            // An answer without a length ends with its connection.
+            Piece head = unframed;
+            handler.piece(this, new Piece(head.status, head.declined, head.load, false, new byte[0], true));
+        }
+        handler.down(this);
+    }
+
+    /** From the selector: a piece of the answer. */
+    void received(Piece piece, boolean framed) {
+        loop.post(() -> {
+            if (isDown || !calling) {
+                return;
+            }
+            unframed = framed ? null : piece;
+            calling = !piece.last;
+            handler.piece(this, piece);
+        });
+    }
+
+    /** Starts a call; the body, which may be empty, is given away. */
+    public void call(HttpRequestPacket head, Buffer body, Handler newHandler) {
+        handler = newHandler;
+        calling = true;
+        written = false;
+        unframed = null;
+        HttpContent whole = HttpContent.builder(head).content(body).last(true).build();
+        CompletionHandler<WriteResult<HttpContent, java.net.SocketAddress>> done = new EmptyCompletionHandler<>() {
+            @Override
+            public void completed(WriteResult<HttpContent, java.net.SocketAddress> result) {
+                loop.post(Link.this::wholeWritten);
+            }
+
+            @Override
+            public void failed(Throwable t) {
+                ended();
+            }
+        };
+        @SuppressWarnings("unchecked")
+        Connection<java.net.SocketAddress> c = (Connection<java.net.SocketAddress>) connection;
+        c.write(whole, done);
+    }
+
+    private void wholeWritten() {
+        if (!isDown && calling && !written) {
+            written = true;
+            handler.written(this);
+        }
+    }
+
+    /** Closes it without a word to the handler. */
+    public void close() {
+        isDown = true;
+        dialLimit.cancel();
+        if (connection != null) {
+            connection.closeSilently();
+        }
+    }
+
+    /** It is up and carries no call. */
+    public boolean isFree() {
+        return isUp && !isDown && !calling && connection.isOpen();
+    }
+
+    /** A pool takes it back: only its end matters now. */
+    public void rest(Handler newHandler) {
+        handler = newHandler;
+    }
+
+    /** The head of a call. */
+    public static HttpRequestPacket.Builder head(String method, String path, String query, InetSocketAddress to) {
+        HttpRequestPacket.Builder b = HttpRequestPacket.builder().method(method).uri(path)
+            .protocol(org.glassfish.grizzly.http.Protocol.HTTP_1_1)
+            .header("Host", to.getAddress().getHostAddress() + ":" + to.getPort());
+        return query == null ? b : b.query(query);
+    }
+}
--- /dev/null
+++ b/src/main/java/hookweir/net/Node.java
@@ -0,0 +1,71 @@
+package hookweir.net;
+
+import hookweir.config.Config;
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+
+/** One scheduler: puts the transport, the loop and the host together, and ends them in order. */
+public final class Node {
+    private final Config config;
+    private final Invariants invariants = new Invariants();
+    private final Loop loop = new Loop(invariants);
+    private final Transport transport = new Transport();
+    private final SocketHost host;
+    private final CountDownLatch ended = new CountDownLatch(1);
+
+    public Node(Config config) {
+        this.config = config;
+        host = new SocketHost(config, loop, transport, invariants);
+    }
+
+    /** Serves until SIGTERM and all that is held then is finished; the exit status. */
+    public int serve() throws IOException {
+        int port;
+        try {
+            port = start();
+        } catch (IOException e) {
+            Log.line("hookweir: listen " + config.listen() + " can't be used: " + e.getMessage());
+            return 1;
+        }
+        Log.line(config.name() + " serves on port " + port);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            drain();
+            awaitEnd();
+        }, "drain"));
+        run();
+        return 0;
+    }
+
+    /** Binds and seeds; the port that it got. {@link #run} is to follow. */
+    public int start() throws IOException {
+        transport.start();
+        // Seeded before any request can be read, as this is posted first.
+        loop.post(() -> host.start(config));
+        return host.ingress().listen(config.listen());
+    }
+
+    /** The loop, on the calling thread, until the end of a drain. */
+    public void run() throws IOException {
+        loop.run();
+        transport.stop();
+        ended.countDown();
+    }
+
+    /** Asks for the planned end. */
+    public void drain() {
+        loop.post(host::drain);
+    }
+
+    /** Counters, for tests and logs. */
+    public Invariants invariants() {
+        return invariants;
+    }
+
+    private void awaitEnd() {
+        try {
+            ended.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/hookweir/net/SocketHost.java
@@ -0,0 +1,461 @@
+package hookweir.net;
+
+import hookweir.Contract;
+import hookweir.Contract.Outcome;
+import hookweir.Contract.Report;
+import hookweir.Policy;
+import hookweir.config.Config;
+import hookweir.net.discovery.Discovery;
+import hookweir.net.discovery.ListUpdate;
+import hookweir.net.egress.Egress;
+import hookweir.net.egress.EgressTarget;
+import hookweir.net.egress.LoadReport;
+import hookweir.net.ingress.Callback;
+import hookweir.net.ingress.ExchangeParser;
+import hookweir.net.ingress.Ingress;
+import hookweir.net.ingress.IngressConnection;
+import hookweir.net.ingress.IngressRequest;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.memory.Buffers;
+
+/**
+ * The module's host, on the sockets. Owns the module and every exchange; all of it runs on the {@link Loop}.
+ * The module is never entered from inside one of its own calls: what a call leads to is posted.
+ */
+public final class SocketHost implements Contract.Host, Ingress.Handler, Discovery.Listener {
+    private static final byte[] NOTHING = new byte[0];
+    private static final double EGRESS_SHARE = 0.45;
+    private static final int OWN_DESCRIPTORS = 64;
+    private static final int PROBE_DIAL_LIMITS = 2;
+    private static final long LOG_EVERY_US = 10_000_000;
+    private static final long LEAVE_AFTER_US = 450_000;
+    private static final long EXIT_AFTER_US = 900_000;
+    private static final long EXIT_POLL_US = 50_000;
+
+    private final Loop loop;
+    private final Transport transport;
+    private final Invariants invariants;
+    private final Contract.Settings settings;
+    private final long probeLimitUs;
+    private final Contract.Dispatcher module;
+    private final Ingress ingress;
+    private final Egress egress;
+    private final Discovery discovery;
+    private final ListUpdate.Parser listParser;
+    private final ExchangeParser exchangeParser;
+    private final LoadReport loadReport;
+    private final Map<Integer, Exchange> exchanges = new HashMap<>();
+    private final Map<String, Exchange> byName = new HashMap<>();
+    private int lastId;
+    private boolean ready;
+    private boolean draining;
+
+    public SocketHost(Config config, Loop loop, Transport transport, Invariants invariants) {
+        this.loop = loop;
+        this.transport = transport;
+        this.invariants = invariants;
+        settings = config.settings().settings;
+        int usable = config.sockets() - OWN_DESCRIPTORS;
+        int links = (int) Math.max(1, usable * EGRESS_SHARE);
+        Dialer dialer = new Dialer(loop, transport);
+        probeLimitUs = PROBE_DIAL_LIMITS * config.settings().dialTimeoutUs;
+        ingress = new Ingress(loop, transport, invariants, Math.max(1, usable - links), this);
+        egress = new Egress(loop, dialer, invariants, config.settings().dialTimeoutUs, config.settings().connIdleUs, links);
+        listParser = new ListUpdate.Parser(config.settings().zones, config.settings().kinds, invariants);
+        discovery = new Discovery(loop, dialer, config.discovery(), listParser, invariants, this);
+        exchangeParser = new ExchangeParser(config.settings().classNames, settings.classes);
+        loadReport = new LoadReport(config.settings().reportFields);
+        module = new Policy(settings, config.seed(), this);
+    }
+
+    /** Seeds the module with the list as last held; from then on the scheduler is ready. On the loop. */
+    public void start(Config config) {
+        ListUpdate known = config.known() == null ? null : listParser.parse(config.known());
+        if (known == null) {
+            known = new ListUpdate(0, true, List.of());
+        }
+        discovery.seeded(known.version());
+        listed(new ListUpdate(known.version(), true, known.entries()));
+        egress.start();
+        ready = true;
+        loop.after(LOG_EVERY_US, this::report);
+    }
+
+    /** Where clients and workers come in. */
+    public Ingress ingress() {
+        return ingress;
+    }
+
+    private void report() {
+        Log.line("held=" + byName.size() + " ingress=" + ingress.size() + " egress=" + egress.size() + " " + invariants);
+        loop.after(LOG_EVERY_US, this::report);
+    }
+
+    // ---- the list ----
+
+    @Override
+    public void listed(ListUpdate update) {
+        List<Contract.Worker> workers = new ArrayList<>();
+        Set<Integer> named = new HashSet<>();
+        for (ListUpdate.Entry e : update.entries()) {
+            workers.add(e.worker());
+            named.add(e.worker().id);
+            egress.told(e.worker().id, e.name(), e.address(), e.worker().state);
+        }
+        if (update.full()) {
+            egress.keepOnly(named);
+        }
+        module.fleet(loop.nowUs(), !update.full(), workers);
+    }
+
+    @Override
+    public void listFailed() {
+        loop.post(() -> module.fleetFailed(loop.nowUs()));
+    }
+
+    // ---- requests ----
+
+    @Override
+    public void request(IngressConnection from, IngressRequest request) {
+        if (request.path().equals("/callback")) {
+            ingress.carriesCallbacks(from);
+            if (request.method().equals("POST")) {
+                Callback told = Callback.parse(request.body());
+                if (told == null) {
+                    invariants.count("ingress bad call-back");
+                }
+                ingress.answer(from, told == null ? 400 : 204, null, NOTHING);
+                if (told != null) {
+                    called(told);
+                }
+            } else {
+                ingress.answer(from, 405, null, NOTHING);
+            }
+        } else if (request.path().equals("/healthz")) {
+            ingress.answer(from, ready && !draining ? 200 : 503, null, NOTHING);
+        } else if (!request.path().startsWith("/api/")) {
+            ingress.answer(from, 404, null, NOTHING);
+        } else if (!request.method().equals("POST")) {
+            ingress.answer(from, 405, null, NOTHING);
+        } else {
+            take(from, request);
+        }
+    }
+
+    private void take(IngressConnection from, IngressRequest request) {
+        Contract.Request r;
+        try {
+            r = exchangeParser.parse(request.headers(), request.path(), ++lastId, loop.nowUs());
+        } catch (ExchangeParser.BadRequest e) {
+            invariants.count("ingress bad request");
+            ingress.answer(from, 400, null, e.getMessage().getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+            return;
+        }
+        if (byName.containsKey(request.headers().id())) {
+            // An id names one job to workers: two of one id could not be told apart.
+            invariants.count("ingress id twice");
+            ingress.answer(from, 409, null, NOTHING);
+            return;
+        }
+        Exchange x = new Exchange(r, request, from, transport.pooled(request.body()));
+        exchanges.put(r.id, x);
+        byName.put(request.headers().id(), x);
+        invariants.count("exchanges");
+        ingress.onGone(from, () -> {
+            x.closed = true;
+            module.withdrawn(loop.nowUs(), r.id);
+            settle(x);
+        });
+        module.request(loop.nowUs(), r);
+    }
+
+    /** The one place that gives a final answer. */
+    private boolean close(Exchange x, int status, String retryAfter, byte[] body) {
+        if (x.closed) {
+            return false;
+        }
+        x.closed = true;
+        invariants.count("answers " + status);
+        ingress.answer(x.client, status, retryAfter, body);
+        return true;
+    }
+
+    /** Forgets an exchange that is closed and has no hop out. */
+    private void settle(Exchange x) {
+        if (x.closed && x.out() == null && exchanges.remove(x.request.id, x)) {
+            byName.remove(x.from.headers().id(), x);
+            x.body.tryDispose();
+        }
+    }
+
+    private void called(Callback told) {
+        Exchange x = byName.get(told.id());
+        Hop hop = null;
+        for (int i = 0; x != null && i < x.hops.size(); i++) {
+            Hop one = x.hops.get(i);
+            hop = one.sent() && one.target.name.equals(told.from()) ? one : hop;
+        }
+        if (hop == null) {
+            // Repeated, late, or not from the worker that has the job: answered, but nothing comes of it.
+            invariants.count("call-backs for nothing");
+            return;
+        }
+        Report report = loadReport.ofJson(told.load());
+        switch (told.state()) {
+            case "started" -> module.progress(loop.nowUs(), x.request.id, hop.number, hop.workerId, 0);
+            case "running" -> module.progress(loop.nowUs(), x.request.id, hop.number, hop.workerId, told.share());
+            case "done" -> hop.told(Outcome.OK, report, told.result());
+            case "failed" -> hop.told(Outcome.ERROR, report, null);
+            case "returned" -> hop.told(Outcome.FULL, report, null);
+            case "lost" -> hop.told(Outcome.RESET, report, null);
+            default -> invariants.count("call-backs of unknown state");
+        }
+    }
+
+    /** The one end of every hop: answers the client if it was served, then tells the module. */
+    void hopOver(Hop hop, Outcome outcome, long elapsedUs, Report report, byte[] result) {
+        Exchange x = hop.exchange;
+        invariants.count("hops " + outcome);
+        if (outcome == Outcome.OK) {
+            close(x, 200, null, result);
+        }
+        loop.post(() -> {
+            module.outcome(loop.nowUs(), x.request.id, hop.number, hop.workerId, outcome, elapsedUs, x.closed, report);
+            settle(x);
+        });
+    }
+
+    /** A report from an answer's header, or null. */
+    Report report(String header) {
+        return loadReport.ofPairs(header);
+    }
+
+    /** The loop that all this runs on. */
+    Loop loop() {
+        return loop;
+    }
+
+    /** A pooled copy of a held body, to be given away. */
+    Buffer copy(Buffer held) {
+        byte[] bytes = new byte[held.remaining()];
+        held.get(bytes, 0, bytes.length);
+        held.position(held.position() - bytes.length);
+        return transport.pooled(bytes);
+    }
+
+    /** Tells a worker that a hop that it took is given up; runs the task once that is on its way, or can't be. */
+    void delete(Hop hop, Runnable after) {
+        new Errand(hop.target, "DELETE", "/jobs/" + hop.exchange.from.headers().id()) {
+            @Override
+            void onWritten() {
+                after.run();
+            }
+
+            @Override
+            void onEnd(Outcome outcome, Link.Piece last, byte[] body) {
+                after.run();
+            }
+        }.start();
+    }
+
+    /** A short call without a body, on a link of the target's pool: a probe or a notice. */
+    private abstract class Errand implements Link.Handler {
+        final long startUs = loop.nowUs();
+        private final EgressTarget target;
+        private final String method;
+        private final String path;
+        private final java.io.ByteArrayOutputStream body = new java.io.ByteArrayOutputStream();
+        private Loop.Timer limit;
+        private boolean over;
+
+        Errand(EgressTarget target, String method, String path) {
+            this.target = target;
+            this.method = method;
+            this.path = path;
+        }
+
+        void onWritten() {
+        }
+
+        abstract void onEnd(Outcome outcome, Link.Piece last, byte[] whole);
+
+        void start() {
+            limit = loop.after(probeLimitUs, () -> end(Outcome.TIMEOUT, null));
+            if (egress.link(target, this) == null) {
+                end(Outcome.CONNECT_FAILED, null);
+            }
+        }
+
+        private void end(Outcome outcome, Link.Piece last) {
+            if (!over) {
+                over = true;
+                limit.cancel();
+                onEnd(outcome, last, body.toByteArray());
+            }
+        }
+
+        @Override
+        public void up(Link l) {
+            l.call(Link.head(method, path, null, target.address()).build(), Buffers.EMPTY_BUFFER, this);
+            // An answer later than the limit is read to keep the link, but not for ever.
+            loop.after(4 * probeLimitUs, () -> {
+                if (!over || !done) {
+                    end(Outcome.TIMEOUT, null);
+                    egress.end(l);
+                }
+            });
+        }
+
+        private boolean done;
+
+        @Override
+        public void written(Link l) {
+            onWritten();
+        }
+
+        @Override
+        public void piece(Link l, Link.Piece piece) {
+            if (body.size() <= Transport.MOST_BODY_BYTES) {
+                body.writeBytes(piece.bytes());
+            }
+            if (piece.last()) {
+                done = true;
+                egress.release(target, l, piece.keepAlive());
+                end(piece.status() == 200 ? Outcome.OK : piece.declined() ? Outcome.FULL : Outcome.ERROR, piece);
+            }
+        }
+
+        @Override
+        public void down(Link l) {
+            done = true;
+            egress.end(l);
+            end(Outcome.CONNECT_FAILED, null);
+        }
+    }
+
+    // ---- Contract.Host ----
+
+    @Override
+    public void send(int requestId, int workerId, long withinUs) {
+        Exchange x = exchanges.get(requestId);
+        if (!invariants.hold(x != null, "send for an unknown exchange")) {
+            loop.post(() -> module.outcome(loop.nowUs(), requestId, 0, workerId, Outcome.MOOT, 0, true, null));
+            return;
+        }
+        long now = loop.nowUs();
+        long left = x.request.giveUpAtUs - now;
+        int number = x.hops.size();
+        EgressTarget target = egress.target(workerId);
+        boolean moot = x.closed || left <= 0 || number >= settings.maxAttempts
+            || !invariants.hold(settings.secondCopies || x.out() == null, "two hops out at once");
+        if (moot || target == null) {
+            x.hops.add(new Hop(this, egress, x, workerId, null, number, now));
+            x.hops.get(number).never(moot ? Outcome.MOOT : Outcome.CONNECT_FAILED);
+        } else {
+            x.hops.add(new Hop(this, egress, x, workerId, target, number, now));
+            x.hops.get(number).start(withinUs > 0 ? Math.min(withinUs, left) : left);
+        }
+    }
+
+    @Override
+    public void refuse(int requestId, long comeBackUs) {
+        Exchange x = exchanges.get(requestId);
+        if (invariants.hold(x != null && !x.closed, "refusal of a closed exchange")) {
+            close(x, 429, comeBackUs <= 0 ? null : String.format(Locale.ROOT, "%.3f", comeBackUs / 1e6), NOTHING);
+            settle(x);
+        }
+    }
+
+    @Override
+    public void fail(int requestId) {
+        Exchange x = exchanges.get(requestId);
+        if (invariants.hold(x != null && !x.closed, "failure of a closed exchange")) {
+            close(x, 500, null, NOTHING);
+            settle(x);
+        }
+    }
+
+    @Override
+    public void cancel(int requestId, int attempt) {
+        Exchange x = exchanges.get(requestId);
+        if (x != null && attempt >= 0 && attempt < x.hops.size()) {
+            x.hops.get(attempt).giveUp(Outcome.CANCELLED);
+        }
+    }
+
+    @Override
+    public void probe(int workerId) {
+        EgressTarget target = egress.target(workerId);
+        if (target == null) {
+            loop.post(() -> module.probed(loop.nowUs(), workerId, Outcome.CONNECT_FAILED, 0, null));
+            return;
+        }
+        invariants.count("probes");
+        new Errand(target, "GET", settings.reports == Contract.ReportsBy.NEVER ? "/healthz" : "/load") {
+            @Override
+            void onEnd(Outcome outcome, Link.Piece last, byte[] whole) {
+                Report report = last == null ? null : last.load() != null ? loadReport.ofPairs(last.load()) : loadReport.ofBody(whole);
+                long elapsed = loop.nowUs() - startUs;
+                loop.post(() -> module.probed(loop.nowUs(), workerId, outcome, elapsed, report));
+            }
+        }.start();
+    }
+
+    @Override
+    public void timer(long token, long delayUs) {
+        loop.after(delayUs, () -> module.timer(loop.nowUs(), token));
+    }
+
+    @Override
+    public void watchList(boolean on) {
+        discovery.watch(on);
+    }
+
+    @Override
+    public void fetchList() {
+        discovery.fetch();
+    }
+
+    @Override
+    public void tell(int peer, byte[] body) {
+        // The socket protocol has no messages between schedulers.
+        invariants.count("messages to peers dropped");
+    }
+
+    @Override
+    public void log(String text) {
+        Log.line("module: " + text);
+    }
+
+    // ---- a planned end ----
+
+    /**
+     * After SIGTERM: goes on accepting and answering, then ends the clients' connections between requests, and
+     * stops the loop once nothing is held.
+     */
+    public void drain() {
+        if (!draining) {
+            draining = true;
+            Log.line("draining, held=" + byName.size());
+            long since = loop.nowUs();
+            loop.after(LEAVE_AFTER_US, ingress::leave);
+            loop.after(EXIT_AFTER_US, () -> exitWhenIdle(since));
+        }
+    }
+
+    private void exitWhenIdle(long since) {
+        if (exchanges.isEmpty() && ingress.quiet()) {
+            Log.line("idle " + (loop.nowUs() - since) / 1000 + " ms after the signal, leaving; " + invariants);
+            loop.stop();
+        } else {
+            loop.after(EXIT_POLL_US, () -> exitWhenIdle(since));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/hookweir/net/Transport.java
@@ -0,0 +1,89 @@
+package hookweir.net;
+
+import java.io.IOException;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
+import org.glassfish.grizzly.memory.PooledMemoryManager;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/**
+ * Owns the one Grizzly transport, its single selector thread and the buffer pool. The selector only parses and
+ * posts to the {@link Loop}; filters run on it (same-thread strategy), so there is no further thread.
+ */
+public final class Transport {
+    /** The one size of all buffers; a longer message is a chain of these. */
+    public static final int BUFFER_BYTES = 4096;
+    /** The most bytes of a body, by the protocol. */
+    public static final int MOST_BODY_BYTES = 64 * 1024;
+    /** The most bytes of a message's headers. */
+    public static final int MOST_HEADER_BYTES = 16 * 1024;
+    private static final float POOL_SHARE_OF_HEAP = 0.1f;
+    private static final int BACKLOG = 512;
+    private static final Logger GRIZZLY = Logger.getLogger("org.glassfish.grizzly");
+
+    private final MemoryManager<? extends Buffer> pool = pool();
+    private final TCPNIOTransport tcp;
+
+    public Transport() {
+        // Peers may reset or garble any connection at any time; that is counted here, not logged there.
+        GRIZZLY.setLevel(Level.OFF);
+        tcp = TCPNIOTransportBuilder.newInstance()
+            .setName("hookweir")
+            .setIOStrategy(SameThreadIOStrategy.getInstance())
+            .setSelectorRunnersCount(1)
+            .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig().copy().setPoolName("selector").setCorePoolSize(1)
+                .setMaxPoolSize(1).setDaemon(true))
+            .setWorkerThreadPoolConfig(null)
+            .setMemoryManager(pool)
+            .setReadBufferSize(BUFFER_BYTES)
+            .setTcpNoDelay(true)
+            .setKeepAlive(false)
+            .setReuseAddress(true)
+            .setServerConnectionBackLog(BACKLOG)
+            .build();
+    }
+
+    private static MemoryManager<? extends Buffer> pool() {
+        return new PooledMemoryManager(BUFFER_BYTES, 1, 0, 1, POOL_SHARE_OF_HEAP, 0, true);
+    }
+
+    /** Starts the selector. */
+    public void start() throws IOException {
+        tcp.start();
+    }
+
+    /** Closes every connection and ends the selector. */
+    public void stop() throws IOException {
+        tcp.shutdownNow();
+    }
+
+    /** The transport itself, for listeners and dials. */
+    public TCPNIOTransport tcp() {
+        return tcp;
+    }
+
+    /** A pooled copy of these bytes; whoever writes it to a connection gives it back by that. */
+    public Buffer pooled(byte[] bytes) {
+        if (bytes.length == 0) {
+            return Buffers.EMPTY_BUFFER;
+        }
+        Buffer b = pool.allocate(bytes.length);
+        b.put(bytes).flip();
+        b.allowBufferDispose(true);
+        return b;
+    }
+
+    /** The bytes of a received buffer, which goes back to the pool. */
+    public static byte[] take(Buffer b) {
+        byte[] bytes = new byte[b.remaining()];
+        b.get(bytes);
+        b.tryDispose();
+        return bytes;
+    }
+}
--- /dev/null
+++ b/src/main/java/hookweir/net/discovery/Lines.java
@@ -0,0 +1,37 @@
+package hookweir.net.discovery;
+
+import java.io.ByteArrayOutputStream;
+import java.util.function.Consumer;
+
+/** Cuts a stream of chunks, however cut, into lines. A line over the limit is dropped and reported as null. */
+final class Lines {
+    private final int mostBytes;
+    private final Consumer<byte[]> sink;
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private boolean tooLong;
+
+    Lines(int mostBytes, Consumer<byte[]> sink) {
+        this.mostBytes = mostBytes;
+        this.sink = sink;
+    }
+
+    void feed(byte[] chunk) {
+        for (byte b : chunk) {
+            if (b == '\n') {
+                end();
+            } else if (line.size() < mostBytes) {
+                line.write(b);
+            } else {
+                tooLong = true;
+            }
+        }
+    }
+
+    private void end() {
+        byte[] whole = line.toByteArray();
+        line.reset();
+        boolean dropped = tooLong;
+        tooLong = false;
+        sink.accept(dropped ? null : whole);
+    }
+}
--- /dev/null
+++ b/src/main/java/hookweir/net/discovery/Names.java
@@ -0,0 +1,20 @@
+package hookweir.net.discovery;
+
+import hookweir.config.ConfigReader;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Numbers of names: their places in the settings; a name that these lack gets the next number. */
+final class Names {
+    private final Map<String, Integer> numbers = new HashMap<>();
+
+    Names(String[] names) {
+        for (String name : names) {
+            numbers.putIfAbsent(name, numbers.size());
+        }
+    }
+
+    int number(String name) {
+        return numbers.computeIfAbsent(ConfigReader.wireWord(name), k -> numbers.size());
+    }
+}
--- /dev/null
+++ b/src/main/java/hookweir/net/egress/Egress.java
@@ -0,0 +1,163 @@
+package hookweir.net.egress;
+
+import hookweir.Contract;
+import hookweir.net.Dialer;
+import hookweir.net.Invariants;
+import hookweir.net.Link;
+import hookweir.net.Loop;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Set;
+
+/** The workers' side: owns the egress targets and the links to them, at most so many. Belongs to the loop. */
+public final class Egress {
+    private static final long SWEEP_US = 500_000;
+    private static final double IDLE_SHARE = 0.9;
+    private static final long IDLE_MARGIN_US = 1_000_000;
+
+    private final Loop loop;
+    private final Dialer dialer;
+    private final Invariants invariants;
+    private final long dialLimitUs;
+    private final long idleLimitUs;
+    private final int mostLinks;
+    private final Map<Integer, EgressTarget> targets = new HashMap<>();
+    private final Set<Link> open = new HashSet<>();
+
+    public Egress(Loop loop, Dialer dialer, Invariants invariants, long dialLimitUs, long connIdleUs, int mostLinks) {
+        this.loop = loop;
+        this.dialer = dialer;
+        this.invariants = invariants;
+        this.dialLimitUs = dialLimitUs;
+        this.mostLinks = mostLinks;
+        // A link is closed here before the worker's machine does so in silence: a call would end as a reset.
+        idleLimitUs = (long) Math.max(connIdleUs * IDLE_SHARE / 2, Math.min(connIdleUs * IDLE_SHARE, connIdleUs - IDLE_MARGIN_US));
+    }
+
+    /** Starts closing idle links in time. */
+    public void start() {
+        loop.after(SWEEP_US, this::sweep);
+    }
+
+    /** The target of this number, or null. */
+    public EgressTarget target(int id) {
+        return targets.get(id);
+    }
+
+    /** What the list says of a target. */
+    public void told(int id, String name, InetSocketAddress address, Contract.State state) {
+        if (state == Contract.State.GONE) {
+            forget(id);
+        } else {
+            targets.computeIfAbsent(id, k -> new EgressTarget(name, id)).update(address, state);
+        }
+    }
+
+    /** A whole list came: targets that it does not name are gone. */
+    public void keepOnly(Set<Integer> named) {
+        for (Integer id : new HashSet<>(targets.keySet())) {
+            if (!named.contains(id)) {
+                forget(id);
+            }
+        }
+    }
+
+    private void forget(int id) {
+        EgressTarget t = targets.remove(id);
+        if (t != null) {
+            for (Link link : t.idle) {
+                open.remove(link);
+            }
+            t.update(t.address(), Contract.State.GONE);
+        }
+    }
+
+    /**
+     * Gets a link to the target: the newest idle one at once, else by a dial.
+     *
+     * @return the link that is dialled or ready; null if there is no room for another
+     */
+    public Link link(EgressTarget target, Link.Handler handler) {
+        while (!target.idle.isEmpty()) {
+            Link link = target.idle.pollFirst();
+            if (link.isFree()) {
+                link.rest(handler);
+                handler.up(link);
+                return link;
+            }
+            end(link);
+        }
+        if (open.size() >= mostLinks && !evict()) {
+            invariants.count("egress out of links");
+            return null;
+        }
+        invariants.count("egress dials");
+        Link link = dialer.dial(target.address(), dialLimitUs, handler);
+        open.add(link);
+        return link;
+    }
+
+    private boolean evict() {
+        for (EgressTarget t : targets.values()) {
+            Link oldest = t.idle.pollLast();
+            if (oldest != null) {
+                end(oldest);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Takes a link back after a call; it is kept if it can carry another. */
+    public void release(EgressTarget target, Link link, boolean keepAlive) {
+        if (!keepAlive || !link.isFree() || targets.get(target.id) != target) {
+            end(link);
+            return;
+        }
+        link.idleSinceUs = loop.nowUs();
+        link.rest(new Link.Handler() {
+            @Override
+            public void piece(Link l, Link.Piece piece) {
+                invariants.count("egress answer without a call");
+                target.idle.remove(l);
+                end(l);
+            }
+
+            @Override
+            public void down(Link l) {
+                target.idle.remove(l);
+                open.remove(l);
+            }
+        });
+        target.idle.addFirst(link);
+    }
+
+    /** Closes a link, or forgets one that is down. */
+    public void end(Link link) {
+        link.close();
+        open.remove(link);
+    }
+
+    private void sweep() {
+        long now = loop.nowUs();
+        for (EgressTarget t : targets.values()) {
+            for (Iterator<Link> it = t.idle.descendingIterator(); it.hasNext();) {
+                Link link = it.next();
+                if (now - link.idleSinceUs + SWEEP_US < idleLimitUs && link.isFree()) {
+                    break;
+                }
+                it.remove();
+                end(link);
+            }
+        }
+        loop.after(SWEEP_US, this::sweep);
+    }
+
+    /** Open links, dials included. */
+    public int size() {
+        return open.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/hookweir/net/egress/EgressTarget.java
@@ -0,0 +1,48 @@
+package hookweir.net.egress;
+
+import hookweir.Contract;
+import hookweir.net.Link;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** One worker as the list has it, and the idle links to it, newest first. Belongs to the loop. */
+public final class EgressTarget {
+    /** Its id in the list, which its call-backs carry. */
+    public final String name;
+    /** Its id for the module. */
+    public final int id;
+    final Deque<Link> idle = new ArrayDeque<>();
+    private InetSocketAddress address;
+    private Contract.State state;
+
+    EgressTarget(String name, int id) {
+        this.name = name;
+        this.id = id;
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** New work may go to it, as far as this scheduler was told. */
+    public boolean ready() {
+        return state == Contract.State.READY;
+    }
+
+    void update(InetSocketAddress newAddress, Contract.State newState) {
+        if (!newAddress.equals(address) || newState == Contract.State.GONE) {
+            dropIdle();
+        }
+        address = newAddress;
+        state = newState;
+    }
+
+    int dropIdle() {
+        int n = idle.size();
+        idle.forEach(Link::close);
+        idle.clear();
+        return n;
+    }
+}
--- /dev/null
+++ b/src/main/java/hookweir/net/ingress/ExchangeParser.java
@@ -0,0 +1,110 @@
+package hookweir.net.ingress;
+
+import hookweir.Contract;
+import hookweir.config.ConfigReader;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Makes the module's request of a client's headers. */
+public final class ExchangeParser {
+    private static final long MOST_DEADLINE_MS = 24 * 3_600_000L;
+    private static final int MOST_ID_CHARS = 128;
+
+    private final Map<String, Integer> classes = new HashMap<>();
+    private final List<Contract.RequestClass> classList;
+
+    /** Headers that make no request; the message says which. */
+    public static final class BadRequest extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        BadRequest(String what) {
+            super(what, null, false, false);
+        }
+    }
+
+    public ExchangeParser(List<String> classNames, List<Contract.RequestClass> classList) {
+        this.classList = classList;
+        for (int i = 0; i < classNames.size(); i++) {
+            classes.put(classNames.get(i), i);
+        }
+    }
+
+    /** The request, numbered and with times of this clock. */
+    public Contract.Request parse(IngressRequest.Headers h, String path, int id, long nowUs) throws BadRequest {
+        Contract.Request r = new Contract.Request();
+        r.id = id;
+        if (h.id() == null || h.id().isEmpty() || h.id().length() > MOST_ID_CHARS || !h.id().matches("[0-9A-Za-z._~-]+")) {
+            throw new BadRequest("Req-Id is missing or malformed");
+        }
+        Integer number = h.kind() == null ? null : classes.get(ConfigReader.wireWord(h.kind()));
+        if (number == null) {
+            throw new BadRequest("Req-Kind is missing or unknown");
+        }
+        r.requestClass = number;
+        // A client that names no deadline waits as long as its class does.
+        long waitUs = h.deadlineMs() == null ? classList.get(number).deadlineUs
+            : 1000 * whole("Req-Deadline-Ms", h.deadlineMs(), MOST_DEADLINE_MS);
+        r.giveUpAtUs = nowUs + waitUs;
+        r.hintUs = h.cost() == null ? 0 : whole("Req-Cost", h.cost(), Integer.MAX_VALUE * 2L);
+        r.repeat = "1".equals(h.retry());
+        r.key = key(path);
+        if (h.extra() != null && !h.extra().isEmpty()) {
+            extras(r, h.extra());
+        }
+        return r;
+    }
+
+    private static void extras(Contract.Request r, String text) throws BadRequest {
+        for (String pair : text.split(",")) {
+            int eq = pair.indexOf('=');
+            if (eq <= 0) {
+                throw new BadRequest("Req-Extra must hold name=value pairs");
+            }
+            double value = number("Req-Extra", pair.substring(eq + 1).strip());
+            switch (pair.substring(0, eq).strip()) {
+                case "width", "slots" -> r.slots = value;
+                case "ram_units", "memory" -> r.memory = value;
+                default -> { }
+            }
+        }
+    }
+
+    /** What the request is about: the path's last part; 0 where it has just the one that all share. */
+    private static long key(String path) {
+        int slash = path.lastIndexOf('/');
+        String last = path.substring(slash + 1);
+        if (slash <= 0 || last.isEmpty()) {
+            return 0;
+        }
+        try {
+            return Long.parseUnsignedLong(last, 16);
+        } catch (NumberFormatException e) {
+            long hash = 1125899906842597L;
+            for (int i = 0; i < last.length(); i++) {
+                hash = 31 * hash + last.charAt(i);
+            }
+            return hash;
+        }
+    }
+
+    private static long whole(String header, String text, long most) throws BadRequest {
+        double v = number(header, text.strip());
+        if (v < 0 || v > most) {
+            throw new BadRequest(header + " is out of range");
+        }
+        return (long) v;
+    }
+
+    private static double number(String header, String text) throws BadRequest {
+        try {
+            double v = Double.parseDouble(text);
+            if (Double.isFinite(v)) {
+                return v;
+            }
+        } catch (NumberFormatException e) {
+            // falls through to the plain message
+        }
+        throw new BadRequest(header + " is not a number");
+    }
+}
