--- a/src/main/java/hookweir/net/SocketHost.java
+++ b/src/main/java/hookweir/net/SocketHost.java
@@ -140,7 +140,9 @@
             }
         } else if (request.path().equals("/healthz")) {
             ingress.answer(from, ready && !draining ? 200 : 503, null, NOTHING);
-        } else if (!request.path().startsWith("/api/")) {
+        } else if (!request.path().equals("/api") && !request.path().startsWith("/api/")) {
+            // Classes without a key come to the bare path.
+            invariants.count("ingress unknown path");
             ingress.answer(from, 404, null, NOTHING);
         } else if (!request.method().equals("POST")) {
             ingress.answer(from, 405, null, NOTHING);
--- a/src/main/java/hookweir/net/Transport.java
+++ b/src/main/java/hookweir/net/Transport.java
@@ -32,7 +32,7 @@
 
     public Transport() {
         // Peers may reset or garble any connection at any time; that is counted here, not logged there.
-        GRIZZLY.setLevel(Level.OFF);
+        GRIZZLY.setLevel(Level.SEVERE);
         tcp = TCPNIOTransportBuilder.newInstance()
             .setName("hookweir")
             .setIOStrategy(SameThreadIOStrategy.getInstance())
