--- a/src/main/java/hookweir/config/ConfigReader.java
+++ b/src/main/java/hookweir/config/ConfigReader.java
@@ -2,13 +2,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.Map;
 
 /** The one place where configuration is read, checked and given defaults. */
@@ -127,8 +125,7 @@
     static void flatten(String path, JsonNode node, Map<String, String> into) {
         String dot = path.isEmpty() ? "" : path + ".";
         if (node.isObject()) {
-            for (Iterator<Map.Entry<String, JsonNode>> it = node.fields(); it.hasNext();) {
-                Map.Entry<String, JsonNode> e = it.next();
+            for (Map.Entry<String, JsonNode> e : node.properties()) {
                 flatten(dot + e.getKey(), e.getValue(), into);
             }
         } else if (node.isArray() && !node.isEmpty() && node.get(0).isContainerNode()) {
--- a/src/main/java/hookweir/net/Dialer.java
+++ b/src/main/java/hookweir/net/Dialer.java
@@ -4,6 +4,7 @@
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.GenericCloseListener;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -12,7 +13,6 @@
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.filterchain.TransportFilter;
-import org.glassfish.grizzly.http.HttpBrokenContent;
 import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpResponsePacket;
@@ -36,14 +36,14 @@
     }
 
     /** Dials; the handler hears of the link when it is up, or that it is down at the latest after the limit. */
+    @SuppressWarnings("rawtypes") // the connector's own signature
     public Link dial(InetSocketAddress to, long limitUs, Link.Handler handler) {
         Link link = new Link(loop, limitUs, handler);
         connector.connect(to, null, new EmptyCompletionHandler<Connection>() {
             @Override
-            @SuppressWarnings("rawtypes")
             public void completed(Connection c) {
                 LINK.set(c, link);
-                c.addCloseListener((closeable, type) -> link.ended());
+                c.addCloseListener((GenericCloseListener) (closeable, type) -> link.ended());
                 link.connected(c);
             }
 
@@ -62,7 +62,7 @@
             HttpContent content = ctx.getMessage();
             Link link = LINK.get(ctx.getConnection());
             HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
-            if (link == null || HttpContent.isBroken(content) || content instanceof HttpBrokenContent) {
+            if (link == null || HttpContent.isBroken(content)) {
                 ctx.getConnection().closeSilently();
                 return ctx.getStopAction();
             }
--- a/src/main/java/hookweir/net/Node.java
+++ b/src/main/java/hookweir/net/Node.java
@@ -56,6 +56,11 @@
         loop.post(host::drain);
     }
 
+    /** Ends at once, whatever is held. */
+    public void stop() {
+        loop.post(loop::stop);
+    }
+
     /** Counters, for tests and logs. */
     public Invariants invariants() {
         return invariants;
--- a/src/main/java/hookweir/net/ingress/Ingress.java
+++ b/src/main/java/hookweir/net/ingress/Ingress.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.GenericCloseListener;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -58,6 +59,7 @@
     private boolean leaving;
     private int writing;
 
+    @SuppressWarnings("deprecation") // no other constructor of the codec allows connections to be kept
     public Ingress(Loop loop, Transport transport, Invariants invariants, int mostConnections, Handler handler) {
         this.loop = loop;
         this.transport = transport;
@@ -88,7 +90,7 @@
             IngressConnection here = new IngressConnection(c);
             HERE.set(c, here);
             loop.post(() -> opened(here));
-            c.addCloseListener((closeable, type) -> loop.post(() -> closed(here)));
+            c.addCloseListener((GenericCloseListener) (closeable, type) -> loop.post(() -> closed(here)));
             return ctx.getInvokeAction();
         }
 
--- /dev/null
+++ b/src/test/java/hookweir/net/TestNode.java
@@ -0,0 +1,109 @@
+package hookweir.net;
+
+import hookweir.config.Config;
+import hookweir.config.ConfigReader;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+
+/** A scheduler on a free port with one worker, which is a plain server socket that the test plays by hand. */
+final class TestNode implements AutoCloseable {
+    final ServerSocket worker = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    final ServerSocket list = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    final Node node;
+    final int port;
+    final Thread loop;
+
+    /** The class's semantics: read_like, non_idempotent or idempotency_key. */
+    TestNode(String semantics) throws Exception {
+        worker.setSoTimeout(20_000);
+        list.setSoTimeout(20_000);
+        Path file = Files.createTempFile("hookweir", ".json");
+        Files.writeString(file, ("{'listen':'127.0.0.1:0','discovery':'127.0.0.1:" + list.getLocalPort() + "','seed':'1',"
+            + "'known':{'version':7,'full':true,'servers':[" + entry("SERVING") + "]},"
+            + "'settings':{'classes':[{'name':'render','aim_us':10000000,'deadline_us':20000000,'semantics':'"
+            + semantics + "','key_scope':'all','window_us':20000000}],'zones':['a'],'kinds':['m'],"
+            + "'discovery':'ask','rules':{'ask_within_us':4000},"
+            + "'limits':{'max_attempts':3,'cancel':true,'dial_timeout_us':5000000}}}").replace('\'', '"'));
+        Config config = ConfigReader.fromFile(file, Map.of());
+        Files.delete(file);
+        node = new Node(config);
+        port = node.start();
+        loop = new Thread(() -> {
+            try {
+                node.run();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        loop.start();
+    }
+
+    String entry(String state) {
+        return "{'id':'s-01','addr':'127.0.0.1:" + worker.getLocalPort() + "','zone':'a','kind':'m','cell':0,'state':'"
+            + state + "','weight':1.0,'started_ms':0}";
+    }
+
+    Socket connect() throws IOException {
+        Socket s = new Socket(InetAddress.getLoopbackAddress(), port);
+        s.setSoTimeout(20_000);
+        return s;
+    }
+
+    /** A whole exchange on a connection of its own. */
+    String ask(String message) throws IOException {
+        try (Socket s = connect()) {
+            say(s, message);
+            return hear(s);
+        }
+    }
+
+    static String post(String path, String headers, String body) {
+        return "POST " + path + " HTTP/1.1\r\nHost: app.svc\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    static String job(String id) {
+        return post("/api", "Req-Id: " + id + "\r\nReq-Kind: render\r\nReq-Deadline-Ms: 20000\r\n", "work");
+    }
+
+    String tell(String id, String from, String state) throws IOException {
+        return ask(post("/callback", "", ("{'id':'" + id + "','from':'" + from + "','state':'" + state + "','result':'r\\u00e9s'}").replace('\'', '"')));
+    }
+
+    static void say(Socket s, String message) throws IOException {
+        s.getOutputStream().write(message.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** One whole message with a length; what came of it, where the connection ends sooner. */
+    static String hear(Socket s) throws IOException {
+        InputStream in = s.getInputStream();
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        int end = -1;
+        for (int b = in.read(); b >= 0; b = in.read()) {
+            out.write(b);
+            String text = out.toString(StandardCharsets.ISO_8859_1);
+            if (end < 0 && text.endsWith("\r\n\r\n")) {
+                int at = text.toLowerCase(java.util.Locale.ROOT).indexOf("content-length: ");
+                end = out.size() + (at < 0 ? 0 : Integer.parseInt(text.substring(at + 16, text.indexOf('\r', at))));
+            }
+            if (out.size() == end) {
+                break;
+            }
+        }
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void close() throws IOException {
+        node.stop();
+        worker.close();
+        list.close();
+    }
+}
