--- a/src/main/java/hookweir/net/Dialer.java
+++ b/src/main/java/hookweir/net/Dialer.java
@@ -2,9 +2,11 @@
 
 import java.net.InetSocketAddress;
 import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.CloseListener;
+import org.glassfish.grizzly.CloseType;
+import org.glassfish.grizzly.Closeable;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
-import org.glassfish.grizzly.GenericCloseListener;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -43,7 +45,7 @@
             @Override
             public void completed(Connection c) {
                 LINK.set(c, link);
-                c.addCloseListener((GenericCloseListener) (closeable, type) -> link.ended());
+                c.addCloseListener((CloseListener<Closeable, CloseType>) (closeable, type) -> link.ended());
                 link.connected(c);
             }
 
--- a/src/main/java/hookweir/net/Hop.java
+++ b/src/main/java/hookweir/net/Hop.java
@@ -14,6 +14,8 @@
     /** The answer to a call for which nobody waits any more is read for so long, to keep the link. */
     private static final long PATIENCE_US = 5_000_000;
 
+    private static final long NEAR_END_US = 1_000;
+
     private enum Stage { DIALLING, SENDING, SENT, TAKEN, GIVING_UP, OVER }
 
     final Exchange exchange;
@@ -161,7 +163,12 @@
             }
             case TAKEN -> {
                 stage = Stage.GIVING_UP;
+                boolean lastWord = exchange.closed || host.loop().nowUs() >= exchange.request.giveUpAtUs - NEAR_END_US;
                 host.delete(this, () -> over(outcome, null, null));
+                if (lastWord) {
+                    // Nothing more can be sent for it, so nobody need wait for the notice to be written.
+                    over(outcome, null, null);
+                }
             }
             default -> { }
         }
--- a/src/main/java/hookweir/net/Node.java
+++ b/src/main/java/hookweir/net/Node.java
@@ -46,9 +46,13 @@
 
     /** The loop, on the calling thread, until the end of a drain. */
     public void run() throws IOException {
-        loop.run();
-        transport.stop();
-        ended.countDown();
+        try {
+            loop.run();
+        } finally {
+            // Also where an error ended the loop: the shutdown hook must not wait for ever.
+            ended.countDown();
+            transport.stop();
+        }
     }
 
     /** Asks for the planned end. */
--- a/src/main/java/hookweir/net/SocketHost.java
+++ b/src/main/java/hookweir/net/SocketHost.java
@@ -189,6 +189,12 @@
         return true;
     }
 
+    /** Refuses an exchange: trying again is harmless, best after so long. */
+    private void shed(Exchange x, long comeBackUs) {
+        close(x, 429, comeBackUs <= 0 ? null : String.format(Locale.ROOT, "%.3f", comeBackUs / 1e6), NOTHING);
+        settle(x);
+    }
+
     /** Forgets an exchange that is closed and has no hop out. */
     private void settle(Exchange x) {
         if (x.closed && x.out() == null && exchanges.remove(x.request.id, x)) {
@@ -370,8 +376,7 @@
     public void refuse(int requestId, long comeBackUs) {
         Exchange x = exchanges.get(requestId);
         if (invariants.hold(x != null && !x.closed, "refusal of a closed exchange")) {
-            close(x, 429, comeBackUs <= 0 ? null : String.format(Locale.ROOT, "%.3f", comeBackUs / 1e6), NOTHING);
-            settle(x);
+            shed(x, comeBackUs);
         }
     }
 
--- a/src/main/java/hookweir/net/discovery/Lines.java
+++ b/src/main/java/hookweir/net/discovery/Lines.java
@@ -4,18 +4,20 @@
 import java.util.function.Consumer;
 
 /** Cuts a stream of chunks, however cut, into lines. A line over the limit is dropped and reported as null. */
-final class Lines {
+public final class Lines {
     private final int mostBytes;
     private final Consumer<byte[]> sink;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private boolean tooLong;
 
-    Lines(int mostBytes, Consumer<byte[]> sink) {
+    /** Lines of at most so many bytes go to the sink. */
+    public Lines(int mostBytes, Consumer<byte[]> sink) {
         this.mostBytes = mostBytes;
         this.sink = sink;
     }
 
-    void feed(byte[] chunk) {
+    /** Takes the next chunk. */
+    public void feed(byte[] chunk) {
         for (byte b : chunk) {
             if (b == '\n') {
                 end();
--- a/src/main/java/hookweir/net/ingress/Ingress.java
+++ b/src/main/java/hookweir/net/ingress/Ingress.java
@@ -10,9 +10,11 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import org.glassfish.grizzly.CloseListener;
+import org.glassfish.grizzly.CloseType;
+import org.glassfish.grizzly.Closeable;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
-import org.glassfish.grizzly.GenericCloseListener;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -90,7 +92,7 @@
             IngressConnection here = new IngressConnection(c);
             HERE.set(c, here);
             loop.post(() -> opened(here));
-            c.addCloseListener((GenericCloseListener) (closeable, type) -> loop.post(() -> closed(here)));
+            c.addCloseListener((CloseListener<Closeable, CloseType>) (closeable, type) -> loop.post(() -> closed(here)));
             return ctx.getInvokeAction();
         }
 
--- a/src/test/java/hookweir/net/FailuresTest.java
+++ b/src/test/java/hookweir/net/FailuresTest.java
@@ -5,6 +5,7 @@
 import static hookweir.net.TestNode.post;
 import static hookweir.net.TestNode.say;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.Socket;
@@ -73,4 +74,69 @@
             assertTrue(n.ask("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").startsWith("HTTP/1.1 200"));
         }
     }
+
+    /** A job whose time is up gets its final answer, and the worker that took it is told by DELETE. */
+    @Test
+    void lateJobIsGivenUp() throws Exception {
+        try (TestNode n = new TestNode("non_idempotent", 3_000_000); Socket client = n.connect()) {
+            say(client, post("/api", "Req-Id: a4\r\nReq-Kind: render\r\nReq-Deadline-Ms: 3000\r\n", "work"));
+            try (Socket w = n.worker.accept()) {
+                hear(w);
+                say(w, TAKEN);
+                assertTrue(hear(client).startsWith("HTTP/1.1 500"));
+                assertTrue(hear(w).startsWith("DELETE /jobs/a4 HTTP/1.1\r\n"));
+            }
+        }
+    }
+
+    /** After the signal a held job is finished, its connection closed, and then the program ends. */
+    @Test
+    void drainFinishesWhatIsHeld() throws Exception {
+        try (TestNode n = new TestNode("read_like"); Socket client = n.connect()) {
+            say(client, job("a5"));
+            try (Socket w = n.worker.accept()) {
+                hear(w);
+                say(w, TAKEN);
+                n.node.drain();
+                assertTrue(n.ask("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").startsWith("HTTP/1.1 503"));
+                assertTrue(n.tell("a5", "s-01", "done").startsWith("HTTP/1.1 204"));
+                assertTrue(hear(client).startsWith("HTTP/1.1 200"));
+                assertEquals(-1, client.getInputStream().read());
+                n.loop.join(20_000);
+                assertFalse(n.loop.isAlive());
+            }
+        }
+    }
+
+    /** A list call that fails is made again; a watch may come in any pieces and count bad lines. */
+    @Test
+    void watchIsAskedForAgain() throws Exception {
+        try (TestNode n = new TestNode("read_like")) {
+            try (Socket d = n.list.accept()) {
+                assertTrue(hear(d).startsWith("GET /v1/servers?watch=1&after=7 HTTP/1.1\r\n"));
+                say(d, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+            }
+            try (Socket d = n.list.accept()) {
+                hear(d);
+                String line = ("{'version':9,'full':true,'servers':[" + n.entry("SERVING") + "]}\n").replace('\'', '"');
+                say(d, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n4\r\nbad\n\r\n");
+                say(d, "5\r\n" + line.substring(0, 5) + "\r\n" + Integer.toHexString(line.length() - 5) + "\r\n" + line.substring(5) + "\r\n");
+            }
+            try (Socket d = n.list.accept()) {
+                assertTrue(hear(d).startsWith("GET /v1/servers?watch=1&after=9 HTTP/1.1\r\n"));
+                assertEquals(1, n.node.invariants().counted("discovery bad line"));
+            }
+        }
+    }
+
+    /** A client that waits for leave to send its body gets it. */
+    @Test
+    void expectationIsMet() throws Exception {
+        try (TestNode n = new TestNode("read_like"); Socket client = n.connect()) {
+            say(client, "POST /callback HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+            assertTrue(hear(client).startsWith("HTTP/1.1 100"));
+            say(client, "{}");
+            assertTrue(hear(client).startsWith("HTTP/1.1 400"));
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/hookweir/net/ParsersTest.java
@@ -0,0 +1,177 @@
+package hookweir.net;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import hookweir.Contract;
+import hookweir.config.BadSetting;
+import hookweir.config.ConfigReader;
+import hookweir.net.discovery.Lines;
+import hookweir.net.discovery.ListUpdate;
+import hookweir.net.egress.LoadReport;
+import hookweir.net.ingress.Callback;
+import hookweir.net.ingress.ExchangeParser;
+import hookweir.net.ingress.IngressRequest;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/** Random cuts of valid messages and random garbage against every parser, from fixed seeds. */
+class ParsersTest {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String ENTRY = "{\"id\":\"s-5be2a07c\",\"addr\":\"10.1.0.18:8080\",\"zone\":\"a\",\"kind\":\"m2\","
+        + "\"cell\":3,\"state\":\"SERVING\",\"weight\":1.5,\"started_ms\":17}";
+    private static final String LIST = "{\"version\":41,\"full\":true,\"servers\":[" + ENTRY + "]}";
+    private final Invariants invariants = new Invariants();
+    private final ExchangeParser exchanges = new ExchangeParser(List.of("render"), List.of(new Contract.RequestClass()));
+    private final LoadReport loads = new LoadReport(new String[] {"x0", "utilization"});
+
+    /** A copy of the text with some bytes overwritten. */
+    private static byte[] garbled(String text, List<Integer> noise) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        for (int n : noise) {
+            bytes[(n >>> 8) % bytes.length] = (byte) n;
+        }
+        return bytes;
+    }
+
+    /** Cuts a message in pieces, each of the length that the next number says. */
+    private static List<byte[]> pieces(byte[] whole, List<Integer> lengths) {
+        List<byte[]> pieces = new ArrayList<>();
+        int from = 0;
+        for (int i = 0; from < whole.length; i++) {
+            int to = i < lengths.size() ? Math.min(whole.length, from + lengths.get(i)) : whole.length;
+            pieces.add(Arrays.copyOfRange(whole, from, to));
+            from = to;
+        }
+        return pieces;
+    }
+
+    @Property(seed = "11", tries = 300)
+    void linesComeWholeHoweverCut(@ForAll @Size(max = 40) List<@IntRange(min = 1, max = 60) Integer> lengths) {
+        List<String> got = new ArrayList<>();
+        Lines lines = new Lines(500, line -> got.add(line == null ? "too long" : new String(line, StandardCharsets.UTF_8)));
+        String text = LIST + "\n\n" + "x".repeat(501) + "\n" + ENTRY + "\nrest";
+        pieces(text.getBytes(StandardCharsets.UTF_8), lengths).forEach(lines::feed);
+        assertEquals(List.of(LIST, "", "too long", ENTRY), got);
+    }
+
+    @Property(seed = "12", tries = 500)
+    void garbledListsAreCountedOrRead(@ForAll @Size(min = 1, max = 6) List<@IntRange(min = 0, max = 65_535) Integer> noise) {
+        ListUpdate.Parser parser = new ListUpdate.Parser(new String[] {"a"}, new String[] {"m2"}, invariants);
+        ListUpdate whole = parser.parse(LIST.getBytes(StandardCharsets.UTF_8));
+        assertEquals(17_000, whole.entries().get(0).worker().startedAtUs);
+        assertEquals(0x5be2a07c, whole.entries().get(0).worker().id);
+        long before = invariants.counted("discovery bad line") + invariants.counted("discovery bad entry");
+        ListUpdate update = parser.parse(garbled(LIST, noise));
+        boolean counted = invariants.counted("discovery bad line") + invariants.counted("discovery bad entry") > before;
+        assertTrue(counted || update != null);
+        for (ListUpdate.Entry e : update == null ? List.<ListUpdate.Entry>of() : update.entries()) {
+            assertTrue(e.worker().kind >= 0 && e.worker().zone >= 0 && e.worker().startedAtUs >= 0);
+        }
+    }
+
+    @Property(seed = "13", tries = 500)
+    void headersMakeARequestOrAreRefused(@ForAll String id, @ForAll String number, @ForAll String extra) {
+        try {
+            Contract.Request r = exchanges.parse(new IngressRequest.Headers(id, "render", number, "1", number, extra, null, null), "/api/" + id, 5, 1000);
+            assertTrue(r.giveUpAtUs >= 1000 && r.hintUs >= 0 && Double.isFinite(r.slots));
+        } catch (ExchangeParser.BadRequest e) {
+            assertNotNull(e.getMessage());
+        }
+    }
+
+    @Property(seed = "14", tries = 300)
+    void goodHeadersAreRead(@ForAll @IntRange(min = 0, max = 90_000) int ms, @ForAll long key) throws Exception {
+        Contract.Request r = exchanges.parse(new IngressRequest.Headers("a-1", "render", "" + ms, null, "7", "slots=2,x=1", null, null),
+            "/api/" + Long.toHexString(key), 5, 1000);
+        assertEquals(1000 + ms * 1000L, r.giveUpAtUs);
+        assertEquals(key, r.key);
+        assertEquals(2, r.slots);
+    }
+
+    @Property(seed = "15", tries = 300)
+    void resultsPassUnaltered(@ForAll String result) throws IOException {
+        byte[] utf8 = result.getBytes(StandardCharsets.UTF_8);
+        String text = new String(utf8, StandardCharsets.UTF_8);
+        byte[] body = JSON.writeValueAsBytes(Map.of("id", "1", "from", "s", "state", "done", "result", text));
+        assertArrayEquals(utf8, Callback.parse(body).result());
+    }
+
+    @Property(seed = "16", tries = 500)
+    void garbledCallbacksAndLoadsAreSurvived(@ForAll @Size(min = 1, max = 8) List<@IntRange(min = 0, max = 65_535) Integer> noise) {
+        Callback told = Callback.parse(garbled("{\"id\":\"9b1f\",\"from\":\"s-0b\",\"state\":\"running\",\"share\":0.4}", noise));
+        assertTrue(told == null || told.id() != null && told.from() != null && told.state() != null);
+        for (String text : List.of("x0=2,utilization=0.61", "{\"x0\":2,\"utilization\":0.61}")) {
+            assertEquals(0.61, loads.ofBody(text.getBytes(StandardCharsets.UTF_8)).utilization);
+            Contract.Report r = loads.ofBody(garbled(text, noise));
+            assertTrue(r == null || !Double.isInfinite(r.free) && !Double.isInfinite(r.utilization));
+        }
+    }
+
+    @Property(seed = "17", tries = 200)
+    void garbledConfigurationNamesItsKey(@ForAll @Size(min = 1, max = 4) List<@IntRange(min = 0, max = 65_535) Integer> noise) throws IOException {
+        Path file = Files.createTempFile("hookweir", ".json");
+        try {
+            Files.write(file, garbled("{\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"a\",\"limits\":{\"sockets\":99},"
+                + "\"settings\":{\"classes\":[{\"name\":\"x\",\"aim_us\":3}],\"zones\":[\"a\"]}}", noise));
+            assertNotNull(ConfigReader.fromFile(file, Map.of()).settings());
+        } catch (BadSetting e) {
+            assertTrue(e.getMessage().contains(e.key) && !e.key.isEmpty());
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    @Property(seed = "18", tries = 12)
+    void requestsAndAnswersMayBeCutAnywhere(@ForAll @Size(min = 1, max = 12) List<@IntRange(min = 1, max = 40) Integer> lengths) throws IOException {
+        try (TestNode n = new TestNode("read_like"); Socket client = n.connect()) {
+            for (byte[] piece : pieces(TestNode.job("c1").getBytes(StandardCharsets.US_ASCII), lengths)) {
+                client.getOutputStream().write(piece);
+            }
+            try (Socket w = n.worker.accept()) {
+                assertTrue(TestNode.hear(w).endsWith("\r\n\r\nwork"));
+                String taken = "HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+                for (byte[] piece : pieces(taken.getBytes(StandardCharsets.US_ASCII), lengths)) {
+                    w.getOutputStream().write(piece);
+                }
+                assertTrue(n.tell("c1", "s-01", "done").startsWith("HTTP/1.1 204"));
+                assertTrue(TestNode.hear(client).startsWith("HTTP/1.1 200"));
+            }
+        }
+    }
+
+    @Property(seed = "19", tries = 40)
+    void garbageOnASocketHarmsNobodyElse(@ForAll @Size(min = 1, max = 400) List<@IntRange(min = 0, max = 255) Integer> garbage,
+            @ForAll @Size(min = 1, max = 6) List<@IntRange(min = 0, max = 65_535) Integer> noise) throws IOException {
+        try (TestNode n = new TestNode("read_like")) {
+            byte[] raw = new byte[garbage.size()];
+            for (int i = 0; i < raw.length; i++) {
+                raw[i] = garbage.get(i).byteValue();
+            }
+            for (byte[] bytes : List.of(raw, garbled(TestNode.job("d1"), noise))) {
+                try (Socket s = n.connect()) {
+                    s.getOutputStream().write(bytes);
+                    s.shutdownOutput();
+                    TestNode.hear(s);
+                } catch (IOException e) {
+                    assertNotNull(e); // a reset is a fair answer to garbage
+                }
+            }
+            assertTrue(n.ask("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").startsWith("HTTP/1.1 200"));
+        }
+    }
+}
--- a/src/test/java/hookweir/net/TestNode.java
+++ b/src/test/java/hookweir/net/TestNode.java
@@ -1,5 +1,6 @@
 package hookweir.net;
 
+import hookweir.config.BadSetting;
 import hookweir.config.Config;
 import hookweir.config.ConfigReader;
 import java.io.ByteArrayOutputStream;
@@ -22,17 +23,26 @@
     final Thread loop;
 
     /** The class's semantics: read_like, non_idempotent or idempotency_key. */
-    TestNode(String semantics) throws Exception {
+    TestNode(String semantics) throws IOException {
+        this(semantics, 20_000_000);
+    }
+
+    TestNode(String semantics, long deadlineUs) throws IOException {
         worker.setSoTimeout(20_000);
         list.setSoTimeout(20_000);
         Path file = Files.createTempFile("hookweir", ".json");
         Files.writeString(file, ("{'listen':'127.0.0.1:0','discovery':'127.0.0.1:" + list.getLocalPort() + "','seed':'1',"
             + "'known':{'version':7,'full':true,'servers':[" + entry("SERVING") + "]},"
-            + "'settings':{'classes':[{'name':'render','aim_us':10000000,'deadline_us':20000000,'semantics':'"
+            + "'settings':{'classes':[{'name':'render','aim_us':" + deadlineUs / 2 + ",'deadline_us':" + deadlineUs + ",'semantics':'"
             + semantics + "','key_scope':'all','window_us':20000000}],'zones':['a'],'kinds':['m'],"
             + "'discovery':'ask','rules':{'ask_within_us':4000},"
             + "'limits':{'max_attempts':3,'cancel':true,'dial_timeout_us':5000000}}}").replace('\'', '"'));
-        Config config = ConfigReader.fromFile(file, Map.of());
+        Config config;
+        try {
+            config = ConfigReader.fromFile(file, Map.of());
+        } catch (BadSetting e) {
+            throw new IllegalStateException(e);
+        }
         Files.delete(file);
         node = new Node(config);
         port = node.start();
