Give the buffers with parsed headers back to the pool

Seen: a count of the pool's buffers over 20,000 call-backs on one connection showed 20,001 new ones, so one was lost to the collector for each request. To blame: Ingress.answered and Dialer.AnswerFilter, which never recycled the codec's packet, and that packet keeps the buffer its headers lie in.

Test: buffersAreUsedAgain, which fails without the change.

--- a/src/main/java/hookweir/net/Dialer.java
+++ b/src/main/java/hookweir/net/Dialer.java
@@ -73,7 +73,11 @@
             link.received(new Link.Piece(head.getStatus(), "1".equals(head.getHeader("srv-declined")),
                 head.getHeader("srv-load"), framed && head.getProcessingState().isKeepAlive(),
                 Transport.take(body), content.isLast()), framed);
+            boolean last = content.isLast();
             content.recycle();
+            if (last) {
+                head.recycle(); // gives the buffer with its headers back to the pool
+            }
             return ctx.getStopAction();
         }
     }
--- a/src/main/java/hookweir/net/Node.java
+++ b/src/main/java/hookweir/net/Node.java
@@ -9,7 +9,7 @@
     private final Config config;
     private final Invariants invariants = new Invariants();
     private final Loop loop = new Loop(invariants);
-    private final Transport transport = new Transport();
+    private final Transport transport = new Transport(invariants);
     private final SocketHost host;
     private final CountDownLatch ended = new CountDownLatch(1);
 
--- a/src/main/java/hookweir/net/Transport.java
+++ b/src/main/java/hookweir/net/Transport.java
@@ -6,6 +6,7 @@
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
+import org.glassfish.grizzly.memory.MemoryProbe;
 import org.glassfish.grizzly.memory.PooledMemoryManager;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
@@ -27,10 +28,11 @@
     private static final int BACKLOG = 512;
     private static final Logger GRIZZLY = Logger.getLogger("org.glassfish.grizzly");
 
-    private final MemoryManager<? extends Buffer> pool = pool();
+    private final MemoryManager<? extends Buffer> pool;
     private final TCPNIOTransport tcp;
 
-    public Transport() {
+    public Transport(Invariants invariants) {
+        pool = pool(invariants);
         // Peers may reset or garble any connection at any time; that is counted here, not logged there.
         GRIZZLY.setLevel(Level.SEVERE);
         tcp = TCPNIOTransportBuilder.newInstance()
@@ -49,8 +51,15 @@
             .build();
     }
 
-    private static MemoryManager<? extends Buffer> pool() {
-        return new PooledMemoryManager(BUFFER_BYTES, 1, 0, 1, POOL_SHARE_OF_HEAP, 0, true);
+    private static MemoryManager<? extends Buffer> pool(Invariants invariants) {
+        PooledMemoryManager made = new PooledMemoryManager(BUFFER_BYTES, 1, 0, 1, POOL_SHARE_OF_HEAP, 0, true);
+        made.getMonitoringConfig().addProbes(new MemoryProbe.Adapter() {
+            @Override
+            public void onBufferAllocateEvent(int size) {
+                invariants.count("buffers made"); // one that does not come back to the pool shows here
+            }
+        });
+        return made;
     }
 
     /** Starts the selector. */
--- a/src/main/java/hookweir/net/ingress/Ingress.java
+++ b/src/main/java/hookweir/net/ingress/Ingress.java
@@ -252,6 +252,10 @@
 
     private void answered(IngressConnection c, boolean ends, boolean lingers) {
         writing--;
+        if (c.current != null) {
+            // Gives the buffer with its headers back to the pool; else it would be left to the collector.
+            c.current.packet().recycle();
+        }
         c.current = null;
         c.lastUsedUs = loop.nowUs();
         if (lingers) {
--- a/src/test/java/hookweir/net/FailuresTest.java
+++ b/src/test/java/hookweir/net/FailuresTest.java
@@ -129,6 +129,18 @@
         }
     }
 
+    /** Buffers come back to the pool: each request's headers kept one from it. */
+    @Test
+    void buffersAreUsedAgain() throws Exception {
+        try (TestNode n = new TestNode("read_like"); Socket client = n.connect()) {
+            for (int i = 0; i < 100; i++) {
+                say(client, post("/callback", "", "{\"id\":\"x\",\"from\":\"y\",\"state\":\"done\"}"));
+                assertTrue(hear(client).startsWith("HTTP/1.1 204"));
+            }
+            assertTrue(n.node.invariants().counted("buffers made") < 50);
+        }
+    }
+
     /** A client that waits for leave to send its body gets it. */
     @Test
     void expectationIsMet() throws Exception {
