--- a/src/main/java/hookweir/Main.java
+++ b/src/main/java/hookweir/Main.java
@@ -26,11 +26,12 @@
 
     @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class,
         usage = "serve: the scheduler on sockets, told by the RELAY_ variables; adapter: the same decisions on the simulator's wire;"
-            + " check-config FILE: checks a configuration; version")
+            + " check-config FILE: checks a configuration; rehearse: serves itself a few requests and ends; version")
     @SubCommands({
         @SubCommand(name = "serve", impl = Serve.class),
         @SubCommand(name = "adapter", impl = Adapter.class),
         @SubCommand(name = "check-config", impl = CheckConfig.class),
+        @SubCommand(name = "rehearse", impl = Rehearse.class),
         @SubCommand(name = "version", impl = Version.class)})
     private Command command;
 
@@ -92,6 +93,16 @@
         }
     }
 
+    /** Serves itself a few requests and ends. */
+    public static final class Rehearse implements Command {
+        @Override
+        public int run() throws IOException, InterruptedException {
+            boolean right = Rehearsal.plays();
+            System.out.println(right ? "rehearsal ok" : "rehearsal failed");
+            return right ? 0 : FAILED;
+        }
+    }
+
     /** Prints the version. */
     public static final class Version implements Command {
         @Override
--- /dev/null
+++ b/src/main/java/hookweir/Rehearsal.java
@@ -0,0 +1,81 @@
+package hookweir;
+
+import hookweir.config.BadSetting;
+import hookweir.config.ConfigReader;
+import hookweir.net.Node;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+
+/**
+ * Starts a scheduler on a free loopback port that is its own only worker and its own discovery, sends it a few
+ * requests, and ends it as SIGTERM would. It shows that the build serves, and the build runs it to record
+ * which classes serving loads, so that a restart need not parse them again.
+ */
+final class Rehearsal {
+    private static final int CLIENT_TIMEOUT_MS = 10_000;
+
+    private Rehearsal() {
+    }
+
+    /** True if each request was answered as it should be. */
+    static boolean plays() throws IOException, InterruptedException {
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        Path file = Files.createTempFile("hookweir", ".json");
+        Node node;
+        try {
+            Files.writeString(file, config("127.0.0.1:" + port));
+            node = new Node(ConfigReader.fromFile(file, Map.of()));
+        } catch (BadSetting e) {
+            throw new IllegalStateException(e);
+        } finally {
+            Files.delete(file);
+        }
+        node.start();
+        Thread loop = new Thread(() -> {
+            try {
+                node.run();
+            } catch (IOException e) {
+                System.err.println("hookweir: " + e.getMessage());
+            }
+        });
+        loop.start();
+        boolean right = ask(port, "GET /healthz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").startsWith("HTTP/1.1 200");
+        // Sent on to this same scheduler, the id is there already, so the only worker fails it.
+        right &= ask(port, post("/api/1", "Req-Id: 1\r\nReq-Kind: k\r\nReq-Deadline-Ms: 1000\r\n", "work")).startsWith("HTTP/1.1 429");
+        right &= ask(port, post("/callback", "", "{\"id\":\"2\",\"from\":\"w\",\"state\":\"done\",\"result\":\"\"}")).startsWith("HTTP/1.1 204");
+        node.drain();
+        loop.join();
+        return right;
+    }
+
+    private static String config(String self) {
+        return ("{'name':'rehearsal','listen':'" + self + "','discovery':'" + self + "','seed':'1','known':{'version':1,'full':true,"
+            + "'servers':[{'id':'s-1','addr':'" + self + "','zone':'z','kind':'m','cell':0,'state':'SERVING','weight':1,'started_ms':0}]},"
+            + "'settings':{'classes':[{'name':'k','aim_us':500000,'deadline_us':1000000,'semantics':'read_like','key_scope':'all'}],"
+            + "'zones':['z'],'kinds':['m'],'discovery':'ask','rules':{'ask_within_us':1000},'stats':{'via':'pull','fields':['x0']},"
+            + "'limits':{'max_attempts':3,'cancel':true,'probes':true,'retry_after':true,'max_retry_after_us':1000}}}").replace('\'', '"');
+    }
+
+    private static String post(String path, String headers, String body) {
+        return "POST " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private static String ask(int port, String message) throws IOException {
+        try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            s.setSoTimeout(CLIENT_TIMEOUT_MS);
+            s.getOutputStream().write(message.getBytes(StandardCharsets.US_ASCII));
+            InputStream in = s.getInputStream();
+            return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+}
