Test that a dial which comes up after a drain carries nothing; share report fields

The new test fills the worker's backlog so that the dial waits, sends word of the drain, and then lets the dial up; without the check in Hop.up it fails, as tried. Discovery follows the version it was last told even where that fell: keeping the highest would have made a list service that started anew send nothing. make build and make run follow deploy/balancer.toml.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 # build, test, lint, run: what a newcomer needs
 .PHONY: build test lint run clean
 
+# deploy/balancer.toml says how the program is built and started; these two follow it.
 build:
-	mvn -q -DskipTests package
+	@sh -c "$$(sed -n 's/^build = "\([^"]*\)".*/\1/p' deploy/balancer.toml)"
 
 test:
 	mvn -B verify
@@ -11,7 +12,7 @@
 	mvn -B -q -P lint verify -DskipTests
 
 run: build
-	java -XX:+UseSerialGC -Xmx64m -jar target/hookweir.jar serve
+	@sh -c "$$(sed -n 's/^run = "\([^"]*\)".*/\1/p' deploy/balancer.toml)"
 
 clean:
 	mvn -q clean
--- a/src/main/java/hookweir/adapter/Session.java
+++ b/src/main/java/hookweir/adapter/Session.java
@@ -15,6 +15,7 @@
 import hookweir.Contract.State;
 import hookweir.Contract.Worker;
 import hookweir.Policy;
+import hookweir.config.ReportFields;
 
 /** Translates batches of the wire into events of {@link Contract} and its actions into replies. */
 final class Session {
@@ -237,15 +238,8 @@
         report.clear();
         for (int i = 0; i < n; i++) {
             double v = in.f32();
-            switch (i < it.reportFields.length ? it.reportFields[i] : "") {
-                case "x0" -> report.free = v;
-                case "x1" -> report.freeMemory = v;
-                case "utilization" -> report.utilization = v;
-                case "recent_ms" -> report.serviceMs = v;
-                case "outstanding" -> report.inHand = v;
-                case "backlog" -> report.waiting = v;
-                case "errors_per_s" -> report.errorsPerS = v;
-                default -> { }
+            if (i < it.reportFields.length) {
+                ReportFields.set(report, it.reportFields[i], v);
             }
         }
         return report;
--- a/src/main/java/hookweir/net/SocketHost.java
+++ b/src/main/java/hookweir/net/SocketHost.java
@@ -102,6 +102,7 @@
 
     @Override
     public void listed(ListUpdate update) {
+        invariants.count("list updates");
         List<Contract.Worker> workers = new ArrayList<>();
         Set<Integer> named = new HashSet<>();
         for (ListUpdate.Entry e : update.entries()) {
--- a/src/main/java/hookweir/net/discovery/Discovery.java
+++ b/src/main/java/hookweir/net/discovery/Discovery.java
@@ -75,7 +75,7 @@
             invariants.count("discovery line too long");
         }
         if (update != null) {
-            version = Math.max(version, update.version());
+            version = update.version();
             listener.listed(update);
         }
     }
@@ -153,7 +153,7 @@
                     if (update == null) {
                         listener.listFailed();
                     } else {
-                        version = Math.max(version, update.version());
+                        version = update.version();
                         listener.listed(new ListUpdate(update.version(), true, update.entries()));
                     }
                 }
--- a/src/main/java/hookweir/net/egress/LoadReport.java
+++ b/src/main/java/hookweir/net/egress/LoadReport.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import hookweir.Contract.Report;
+import hookweir.config.ReportFields;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -67,21 +68,6 @@
     }
 
     private boolean set(Report report, String name, double v) {
-        if (!fields.contains(name) || !Double.isFinite(v)) {
-            return false;
-        }
-        switch (name) {
-            case "x0" -> report.free = v;
-            case "x1" -> report.freeMemory = v;
-            case "utilization" -> report.utilization = v;
-            case "recent_ms" -> report.serviceMs = v;
-            case "outstanding" -> report.inHand = v;
-            case "backlog" -> report.waiting = v;
-            case "errors_per_s" -> report.errorsPerS = v;
-            default -> {
-                return false;
-            }
-        }
-        return true;
+        return fields.contains(name) && Double.isFinite(v) && ReportFields.set(report, name, v);
     }
 }
--- a/src/test/java/hookweir/net/FailuresTest.java
+++ b/src/test/java/hookweir/net/FailuresTest.java
@@ -9,7 +9,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** One small test for each failure found, and for the orders in which messages of a hop can come. */
 class FailuresTest {
@@ -141,6 +144,34 @@
         }
     }
 
+    /** Rule 3 counts from a send's first byte: a dial that comes up after word of a drain must carry nothing. */
+    @Test
+    @Timeout(60)
+    void dialThatComesUpAfterADrainCarriesNothing() throws Exception {
+        try (TestNode n = new TestNode("non_idempotent"); Socket client = n.connect(); Socket d = n.list.accept()) {
+            hear(d);
+            say(d, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            List<Socket> fillers = new ArrayList<>();
+            for (int i = 0; i < 2; i++) { // the worker's backlog of one is full, so the next dial waits
+                fillers.add(new Socket(n.worker.getInetAddress(), n.worker.getLocalPort()));
+            }
+            say(client, job("a6"));
+            n.awaitCount("egress dials", 1);
+            String line = ("{'version':8,'full':false,'servers':[" + n.entry("DRAINING") + "]}\n").replace('\'', '"');
+            say(d, Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+            n.awaitCount("list updates", 2);
+            for (Socket filler : fillers) {
+                n.worker.accept().close();
+                filler.close();
+            }
+            n.awaitCount("hops CONNECT_FAILED", 1);
+            try (Socket w = n.worker.accept()) {
+                n.node.stop();
+                assertEquals("", hear(w));
+            }
+        }
+    }
+
     /** A client that waits for leave to send its body gets it. */
     @Test
     void expectationIsMet() throws Exception {
--- a/src/test/java/hookweir/net/TestNode.java
+++ b/src/test/java/hookweir/net/TestNode.java
@@ -16,7 +16,7 @@
 
 /** A scheduler on a free port with one worker, which is a plain server socket that the test plays by hand. */
 final class TestNode implements AutoCloseable {
-    final ServerSocket worker = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    final ServerSocket worker = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
     final ServerSocket list = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     final Node node;
     final int port;
@@ -67,6 +67,13 @@
         return s;
     }
 
+    /** Waits until something was counted so often. */
+    void awaitCount(String name, long times) throws InterruptedException {
+        while (node.invariants().counted(name) < times) {
+            Thread.sleep(5);
+        }
+    }
+
     /** A whole exchange on a connection of its own. */
     String ask(String message) throws IOException {
         try (Socket s = connect()) {
