--- a/src/main/java/hookweir/Policy.java
+++ b/src/main/java/hookweir/Policy.java
@@ -34,6 +34,8 @@
     private static final int RANKS = 8; // so many workers of a key are told apart...
     private static final double UNRANKED = 1e-6; // ...and room at all others counts next to nothing
     private static final double LEAST_ROOM = 0.5; // less by a fresh figure reads as full
+    private static final double HEAVY = 2; // mean jobs from which a job is heavy and its run is looked at
+    private static final double TOO_SLOW = 0.1; // room at a worker whose pace ends a heavy job after its aim
     private static final double RESERVE = 0.25; // of a worker is left free by work that is late already
     private static final double PRIOR = 0.01; // worker at half fill in the mean, for want of figures
     private static final double RATE_WINDOW_S = 5; // requests of so many seconds make up the request rate
@@ -479,6 +481,9 @@
             room = Math.max(room - (j.slots - 1), room * 0.1);
             // Departure: room counts by the worker's speed as reports tell it, else by its kind's as seen.
             room *= Math.min(2, w.serviceMs > 0 ? meanMs / w.serviceMs : meanPace / (1 + kindPace[w.e.kind]));
+            // Departure: a heavy job goes where its run can still end in time: slow cores outlast its client.
+            double run = j.r.hintUs * Math.max(1, 1 + kindPace[w.e.kind]);
+            room *= run > HEAVY * serviceUs && now + run > j.aimUs ? TOO_SLOW : 1;
             weight[i] = Math.max(0, room * home(w));
             sum += weight[i];
             if (j.r.key != 0 && weight[i] > 0) rank(i, mix(j.r.key ^ w.hash));
