--- a/src/test/java/hookweir/net/FailuresTest.java
+++ b/src/test/java/hookweir/net/FailuresTest.java
@@ -139,6 +139,8 @@
             for (int i = 0; i < 100; i++) {
                 say(client, post("/callback", "", "{\"id\":\"x\",\"from\":\"y\",\"state\":\"done\"}"));
                 assertTrue(hear(client).startsWith("HTTP/1.1 204"));
+                say(client, post("/api", "Req-Id: b1\r\n", "work"));
+                assertTrue(hear(client).endsWith("Req-Kind is missing or unknown")); // an answer with a body
             }
             assertTrue(n.node.invariants().counted("buffers made") < 50);
         }
