Frame clients' requests strictly, bound slow ones and move discovery on SIGHUP

At fault: HttpServerFilter takes Transfer-Encoding before Content-Length and lets folded lines, bare line feeds, 'Content-Length: -4' and Upgrade pass (its finalizeKnownHeaderValues and prepareRequest, read in its source); Ingress.SILENT_US allowed 60 s of silence and nothing bounded half a request; Ingress.opened closed the longest idle connection, a good client's too; arrived closed a connection that sent ahead, losing the request being answered; nothing handled SIGHUP, and RELAY_DISCOVERY won over the file.

Now: Framing, in a filter before the codec, passes on one message at a time and only what is framed beyond doubt; the error comes after the answers owed, and what follows is dropped, to a bound. From accept to the first whole request and from first byte to last there are 2 s. At the cap, connections with their last word go first, then those that never sent a request. SIGHUP reads the file off the loop, and Discovery goes over whole: it asks the new address for the whole list, as versions may be counted anew, and keeps the old list meanwhile. A list call without an answer is made again after 1.5 s and a watch silent for 3 s, as all counts as told after 6 s.

--- a/src/main/java/hookweir/config/ConfigReader.java
+++ b/src/main/java/hookweir/config/ConfigReader.java
@@ -26,6 +26,16 @@
         return fromFile(Path.of(file), env);
     }
 
+    /**
+     * Reads the file anew for a scheduler that runs: what was told by variable at the start stands, but for
+     * discovery, as the file may name another by now.
+     */
+    public static Config again(Map<String, String> env) throws BadSetting {
+        Map<String, String> told = new HashMap<>(env);
+        told.remove("RELAY_DISCOVERY");
+        return fromEnvironment(told);
+    }
+
     /** Reads one file. */
     public static Config fromFile(Path file, Map<String, String> env) throws BadSetting {
         JsonNode root;
--- a/src/main/java/hookweir/net/Node.java
+++ b/src/main/java/hookweir/net/Node.java
@@ -1,7 +1,10 @@
 package hookweir.net;
 
+import hookweir.config.BadSetting;
 import hookweir.config.Config;
+import hookweir.config.ConfigReader;
 import java.io.IOException;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 
 /** One scheduler: puts the transport, the loop and the host together, and ends them in order. */
@@ -18,8 +21,23 @@
         host = new SocketHost(config, loop, transport, invariants);
     }
 
+    /**
+     * Reads the configuration anew and goes over to its discovery; a faulty one is logged and the running one
+     * kept. Any thread but the loop: the file is read here. One at a time, so that the last read wins.
+     */
+    public synchronized void reload(Map<String, String> env) {
+        try {
+            Config again = ConfigReader.again(env);
+            loop.post(() -> host.moveDiscovery(again.discovery()));
+        } catch (BadSetting e) {
+            invariants.count("reloads refused");
+            Log.line("the configuration stays as it was: " + e.getMessage());
+        }
+    }
+
     /** Serves until SIGTERM and all that is held then is finished; the exit status. */
     public int serve() throws IOException {
+        HangUp.handle(() -> reload(System.getenv()));
         int port;
         try {
             port = start();
--- a/src/main/java/hookweir/net/SocketHost.java
+++ b/src/main/java/hookweir/net/SocketHost.java
@@ -15,6 +15,7 @@
 import hookweir.net.ingress.Ingress;
 import hookweir.net.ingress.IngressConnection;
 import hookweir.net.ingress.IngressRequest;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -121,6 +122,13 @@
         loop.post(() -> module.fleetFailed(loop.nowUs()));
     }
 
+    /** Another address serves the list from now on; what was told of it so far stands until that one speaks. */
+    void moveDiscovery(InetSocketAddress to) {
+        invariants.count("reloads");
+        Log.line("discovery is now " + to);
+        discovery.move(to);
+    }
+
     // ---- requests ----
 
     @Override
--- a/src/main/java/hookweir/net/discovery/Discovery.java
+++ b/src/main/java/hookweir/net/discovery/Discovery.java
@@ -6,6 +6,9 @@
 import hookweir.net.Loop;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Set;
 import org.glassfish.grizzly.memory.Buffers;
 
 /** The list's side: one watch at most, and single fetches, each on a link of its own. Belongs to the loop. */
@@ -20,19 +23,23 @@
     }
 
     private static final long DIAL_US = 1_000_000;
-    private static final long FETCH_US = 5_000_000;
-    /** An empty line comes every 2 s; three missing ones are silence. */
-    private static final long SILENCE_US = 6_500_000;
+    /** A call that is not answered by then is made again: all that is listed counts as told some seconds later. */
+    private static final long ANSWER_US = 1_500_000;
+    /** An empty line comes every 2 s. */
+    private static final long SILENCE_US = 3_000_000;
+    private static final long UNKNOWN = -1;
     private static final int MOST_LINE_BYTES = 4 * 1024 * 1024;
 
     private final Loop loop;
     private final Dialer dialer;
-    private final InetSocketAddress address;
     private final ListUpdate.Parser parser;
     private final Invariants invariants;
     private final Listener listener;
+    private final Set<Call> fetches = new HashSet<>();
+    private InetSocketAddress address;
     private Call watch;
-    private long version;
+    /** Of the list as held, by the present address's count; unknown until it has sent a whole list. */
+    private long version = UNKNOWN;
 
     public Discovery(Loop loop, Dialer dialer, InetSocketAddress address, ListUpdate.Parser parser,
             Invariants invariants, Listener listener) {
@@ -49,21 +56,36 @@
         version = knownVersion;
     }
 
+    /**
+     * Goes over to another address, whatever the old one may still say. The list as held stands until the new one
+     * has sent a whole one; versions may be counted differently there.
+     */
+    public void move(InetSocketAddress to) {
+        address = to;
+        version = UNKNOWN;
+        new ArrayList<>(fetches).forEach(Call::stop);
+        watch(true);
+    }
+
     /** Starts or ends the watch. A second start asks anew: the old watch goes. */
     public void watch(boolean on) {
         if (watch != null) {
             watch.stop();
             watch = null;
         }
+        if (on && version == UNKNOWN) {
+            watch = new Call(null, true);
+        } else if (on) {
+            watch = new Call("watch=1&after=" + version, true);
+        }
         if (on) {
-            watch = new Call("watch=1&after=" + version, SILENCE_US, true);
             watch.start();
         }
     }
 
     /** Fetches the whole list once. */
     public void fetch() {
-        new Call(null, FETCH_US, false).start();
+        new Call(null, false).start();
     }
 
     private void line(byte[] line) {
@@ -82,24 +104,28 @@
 
     /** One call: ends by its answer, by a failure, or by silence. */
     private final class Call implements Link.Handler {
+        private final InetSocketAddress to = address;
+        /** Null for the whole list. */
         private final String query;
-        private final long silenceUs;
-        private final boolean streams;
+        /** A watch, or the whole list that one begins with. */
+        private final boolean watches;
         private final Lines lines = new Lines(MOST_LINE_BYTES, Discovery.this::line);
         private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
         private Link link;
         private Loop.Timer silence;
         private boolean over;
 
-        Call(String query, long silenceUs, boolean streams) {
+        Call(String query, boolean watches) {
             this.query = query;
-            this.silenceUs = silenceUs;
-            this.streams = streams;
+            this.watches = watches;
         }
 
         void start() {
-            silence = loop.after(silenceUs, this::silent);
-            link = dialer.dial(address, DIAL_US, this);
+            if (!watches) {
+                fetches.add(this);
+            }
+            silence = loop.after(ANSWER_US, this::silent);
+            link = dialer.dial(to, DIAL_US, this);
         }
 
         /** Guards against a discovery machine that vanished: it leaves its connections open and mute. */
@@ -112,6 +138,7 @@
             over = true;
             silence.cancel();
             link.close();
+            fetches.remove(this);
         }
 
         private void fail() {
@@ -125,7 +152,7 @@
 
         @Override
         public void up(Link l) {
-            l.call(Link.head("GET", "/v1/servers", query, address).build(), Buffers.EMPTY_BUFFER, this);
+            l.call(Link.head("GET", "/v1/servers", query, to).build(), Buffers.EMPTY_BUFFER, this);
         }
 
         @Override
@@ -134,11 +161,11 @@
                 return;
             }
             silence.cancel();
-            silence = loop.after(silenceUs, this::silent);
+            silence = loop.after(query == null ? ANSWER_US : SILENCE_US, this::silent);
             if (piece.status() != 200) {
                 invariants.count("discovery status " + piece.status());
                 fail();
-            } else if (streams) {
+            } else if (query != null) {
                 lines.feed(piece.bytes());
                 if (piece.last()) {
                     fail();
@@ -148,18 +175,25 @@
                 if (whole.size() > MOST_LINE_BYTES) {
                     fail();
                 } else if (piece.last()) {
-                    stop();
-                    ListUpdate update = parser.parse(whole.toByteArray());
-                    if (update == null) {
-                        listener.listFailed();
-                    } else {
-                        version = update.version();
-                        listener.listed(new ListUpdate(update.version(), true, update.entries()));
-                    }
+                    wholeList();
                 }
             }
         }
 
+        private void wholeList() {
+            ListUpdate update = parser.parse(whole.toByteArray());
+            if (update == null) {
+                fail();
+                return;
+            }
+            stop();
+            version = update.version();
+            listener.listed(new ListUpdate(update.version(), true, update.entries()));
+            if (watches) {
+                watch(true);
+            }
+        }
+
         @Override
         public void down(Link l) {
             fail();
--- a/src/main/java/hookweir/net/ingress/ExchangeParser.java
+++ b/src/main/java/hookweir/net/ingress/ExchangeParser.java
@@ -44,7 +44,7 @@
         r.requestClass = number;
         // A client that names no deadline waits as long as its class does.
         long waitUs = h.deadlineMs() == null ? classList.get(number).deadlineUs
-            : 1000 * whole("Req-Deadline-Ms", h.deadlineMs(), MOST_DEADLINE_MS);
+            : 1000 * millis(h.deadlineMs());
         r.giveUpAtUs = nowUs + waitUs;
         r.hintUs = h.cost() == null ? 0 : whole("Req-Cost", h.cost(), Integer.MAX_VALUE * 2L);
         r.repeat = "1".equals(h.retry());
@@ -88,6 +88,14 @@
         }
     }
 
+    /** Plain digits only: a deadline that is guessed at is somebody else's. */
+    private static long millis(String text) throws BadRequest {
+        if (!text.matches("[0-9]{1,9}") || Long.parseLong(text) > MOST_DEADLINE_MS) {
+            throw new BadRequest("Req-Deadline-Ms is not a whole number of milliseconds up to a day");
+        }
+        return Long.parseLong(text);
+    }
+
     private static long whole(String header, String text, long most) throws BadRequest {
         double v = number(header, text.strip());
         if (v < 0 || v > most) {
--- a/src/main/java/hookweir/net/ingress/Ingress.java
+++ b/src/main/java/hookweir/net/ingress/Ingress.java
@@ -7,15 +7,22 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
+import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CloseListener;
 import org.glassfish.grizzly.CloseType;
 import org.glassfish.grizzly.Closeable;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -28,6 +35,8 @@
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.KeepAlive;
+import org.glassfish.grizzly.http.util.HttpStatus;
+import org.glassfish.grizzly.nio.NIOConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 
@@ -44,11 +53,19 @@
 
     private static final Attribute<IngressConnection> HERE =
         Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("hookweir.ingress");
+    /** A kept connection may stand unused for so long. */
     private static final long SILENT_US = 60_000_000;
-    private static final long SWEEP_US = 5_000_000;
+    /** From accepting a connection to the end of its first request, and from a request's first byte to its last. */
+    private static final long SLOW_US = 2_000_000;
+    private static final long SWEEP_US = 200_000;
+    /** After an error that ends a connection, its client has so long to read it. */
     private static final long LINGER_US = 500_000;
+    /** So much is still read and dropped then, lest a reset overtake the error; a sender of more is left to stall. */
+    private static final int MOST_DROPPED = 256 * 1024;
     private static final int MOST_AHEAD = 8;
-    private static final byte[] NOTHING = new byte[0];
+    /** Connections accepted but not yet known to the loop may go over the cap by so many. */
+    private static final int UNSEEN = 24;
+    private static final int TIMED_OUT = 408;
 
     private final Loop loop;
     private final Transport transport;
@@ -58,6 +75,7 @@
     private final Set<IngressConnection> all = new LinkedHashSet<>();
     private final TCPNIOBindingHandler binding;
     private TCPNIOServerConnection listener;
+    private final AtomicInteger accepted = new AtomicInteger();
     private boolean leaving;
     private int writing;
 
@@ -74,7 +92,7 @@
         HttpServerFilter codec = new HttpServerFilter(false, Transport.MOST_HEADER_BYTES, keepAlive, null);
         codec.setAllowPayloadForUndefinedHttpMethods(true);
         binding = TCPNIOBindingHandler.builder(transport.tcp()).processor(FilterChainBuilder.stateless()
-            .add(new TransportFilter()).add(codec).add(new RequestFilter()).build()).build();
+            .add(new TransportFilter()).add(new FramingFilter()).add(codec).add(new RequestFilter()).build()).build();
     }
 
     /** Binds the address; the port that it got. */
@@ -84,26 +102,79 @@
         return ((InetSocketAddress) listener.getLocalAddress()).getPort();
     }
 
-    /** Runs on the selector: gathers each request's body and posts the whole. */
-    private final class RequestFilter extends BaseFilter {
+    /** Runs on the selector: passes on only what is framed beyond doubt, one message at a time. */
+    private final class FramingFilter extends BaseFilter {
         @Override
         public NextAction handleAccept(FilterChainContext ctx) {
             Connection<?> c = ctx.getConnection();
-            IngressConnection here = new IngressConnection(c);
+            // Guards the descriptor limit while the loop has not yet seen a flood of connections.
+            boolean over = accepted.incrementAndGet() > mostConnections + UNSEEN;
+            c.addCloseListener((CloseListener<Closeable, CloseType>) (closeable, type) -> accepted.decrementAndGet());
+            if (over) {
+                invariants.count("ingress closed at the door");
+                c.closeSilently();
+                return ctx.getStopAction();
+            }
+            IngressConnection here = new IngressConnection(c, loop.nowUs());
             HERE.set(c, here);
             loop.post(() -> opened(here));
             c.addCloseListener((CloseListener<Closeable, CloseType>) (closeable, type) -> loop.post(() -> closed(here)));
             return ctx.getInvokeAction();
         }
 
+        @Override
+        public NextAction handleRead(FilterChainContext ctx) {
+            IngressConnection here = HERE.get(ctx.getConnection());
+            Buffer in = ctx.getMessage();
+            if (here == null || here.deaf) {
+                drop(here, in);
+                return ctx.getStopAction();
+            }
+            int end = here.framing.scan(in);
+            if (here.framing.fault() != 0) {
+                here.deaf = true;
+                here.body = null;
+                drop(here, in);
+                loop.post(() -> unreadable(here, here.framing.fault()));
+                return ctx.getStopAction();
+            }
+            if (!here.framing.inside()) {
+                here.insideSinceUs = 0;
+            } else if (here.insideSinceUs == 0) {
+                here.insideSinceUs = loop.nowUs();
+            }
+            return ctx.getInvokeAction(here.framing.whole() && end < in.limit() ? in.split(end) : null);
+        }
+
+        private void drop(IngressConnection here, Buffer in) {
+            int n = in.remaining();
+            in.tryDispose();
+            if (here != null && (here.dropped += n) > MOST_DROPPED) {
+                reads(here, false);
+            }
+        }
+    }
+
+    private static void reads(IngressConnection c, boolean on) {
+        try {
+            if (on) {
+                ((NIOConnection) c.connection).enableIOEvent(IOEvent.READ);
+            } else {
+                ((NIOConnection) c.connection).disableIOEvent(IOEvent.READ);
+            }
+        } catch (IOException e) {
+            c.connection.closeSilently();
+        }
+    }
+
+    /** Runs on the selector: gathers each request's body and posts the whole. */
+    private final class RequestFilter extends BaseFilter {
         @Override
         public NextAction handleRead(FilterChainContext ctx) {
             HttpContent content = ctx.getMessage();
             IngressConnection here = HERE.get(ctx.getConnection());
             HttpRequestPacket packet = (HttpRequestPacket) content.getHttpHeader();
-            if (HttpContent.isBroken(content)) {
-                // The codec has answered 400; what else may come on this connection can't be told apart.
-                invariants.count("ingress malformed body");
+            if (!invariants.hold(!HttpContent.isBroken(content), "the codec refused what was framed well")) {
                 here.deaf = true;
                 loop.post(() -> loop.after(LINGER_US, here.connection::closeSilently));
                 return ctx.getStopAction();
@@ -111,12 +182,9 @@
             byte[] piece = Transport.take(content.getContent());
             boolean last = content.isLast();
             content.recycle();
-            if (here.deaf) {
-                return ctx.getStopAction();
-            }
             if (here.body == null) {
                 here.body = new ByteArrayOutputStream();
-                if (packet.requiresAcknowledgement() && packet.getContentLength() <= Transport.MOST_BODY_BYTES) {
+                if (packet.requiresAcknowledgement()) {
                     HttpResponsePacket go = packet.getResponse();
                     go.setStatus(100);
                     go.setAcknowledgement(true);
@@ -124,13 +192,7 @@
                 }
             }
             here.body.writeBytes(piece);
-            if (here.body.size() > Transport.MOST_BODY_BYTES || packet.getContentLength() > Transport.MOST_BODY_BYTES) {
-                // Guards the memory limit: the rest is read and dropped until the client has its 413.
-                here.deaf = true;
-                here.body = null;
-                IngressRequest tooLong = whole(packet, NOTHING, false);
-                loop.post(() -> refuseTooLong(here, tooLong));
-            } else if (last) {
+            if (last) {
                 IngressRequest whole = whole(packet, here.body.toByteArray(), packet.getProcessingState().isKeepAlive());
                 here.body = null;
                 loop.post(() -> arrived(here, whole));
@@ -146,16 +208,27 @@
     }
 
     private void opened(IngressConnection c) {
-        c.lastUsedUs = loop.nowUs();
         all.add(c);
         if (all.size() > mostConnections) {
-            // Guards the descriptor limit: the longest idle one goes, or else the new one.
-            IngressConnection victim = all.stream().filter(IngressConnection::idle).findFirst().orElse(c);
+            // Guards the descriptor limit: those with their last word go first, then those that never sent a
+            // request, silent ones before those with half of one; then the longest idle, call-backs' last.
             invariants.count("ingress closed at the cap");
+            IngressConnection victim = firstIdle(o -> o.closing)
+                .or(() -> firstIdle(o -> !o.proven && o != c && o.insideSinceUs == 0))
+                .or(() -> firstIdle(o -> !o.proven && o != c))
+                .or(() -> firstIdle(o -> o.proven && !o.carriesCallbacks && o.insideSinceUs == 0))
+                .or(() -> firstIdle(o -> o.proven && o.insideSinceUs == 0))
+                .orElse(c);
+            all.remove(victim);
+            victim.closing = true;
             victim.connection.closeSilently();
         }
     }
 
+    private Optional<IngressConnection> firstIdle(Predicate<IngressConnection> among) {
+        return all.stream().filter(o -> o.idle() && among.test(o)).findFirst();
+    }
+
     private void closed(IngressConnection c) {
         c.closing = true;
         all.remove(c);
@@ -172,12 +245,13 @@
             return;
         }
         c.lastUsedUs = loop.nowUs();
+        c.proven = true;
         if (c.current != null) {
-            if (c.ahead.size() >= MOST_AHEAD) {
+            c.ahead.add(request);
+            if (c.ahead.size() == MOST_AHEAD) {
+                // Guards memory: the rest waits in the kernel. Closing would lose the request being answered.
                 invariants.count("ingress too many requests ahead");
-                c.connection.closeSilently();
-            } else {
-                c.ahead.add(request);
+                reads(c, false);
             }
             return;
         }
@@ -191,15 +265,35 @@
         handler.request(c, request);
     }
 
-    private void refuseTooLong(IngressConnection c, IngressRequest request) {
-        if (c.current == null && !c.closing) {
-            c.current = request;
-            answer(c, 413, null, NOTHING);
-        } else {
-            c.connection.closeSilently();
+    /** What came can't be read: an error ends the connection, after the answers to what could be. */
+    private void unreadable(IngressConnection c, int status) {
+        invariants.count("ingress unreadable " + status);
+        c.fault = status;
+        if (c.idle() && !c.closing) {
+            endWithError(c);
         }
     }
 
+    private void endWithError(IngressConnection c) {
+        c.closing = true;
+        @SuppressWarnings("unchecked")
+        Connection<SocketAddress> out = (Connection<SocketAddress>) c.connection;
+        String text = "HTTP/1.1 " + c.fault + " " + HttpStatus.getHttpStatus(c.fault).getReasonPhrase()
+            + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+        out.write(transport.pooled(text.getBytes(StandardCharsets.US_ASCII)), new EmptyCompletionHandler<>() {
+            @Override
+            public void completed(WriteResult<Buffer, SocketAddress> result) {
+                try {
+                    // A client that reads on sees the end at once, and its own end is seen here.
+                    ((SocketChannel) ((NIOConnection) c.connection).getChannel()).shutdownOutput();
+                } catch (IOException e) {
+                    c.connection.closeSilently();
+                }
+            }
+        });
+        loop.after(LINGER_US, out::closeSilently);
+    }
+
     /** Marks what to do if the client leaves before its answer. */
     public void onGone(IngressConnection c, Runnable gone) {
         c.onGone = gone;
@@ -239,18 +333,18 @@
         out.write(whole, new EmptyCompletionHandler<WriteResult<HttpContent, SocketAddress>>() {
             @Override
             public void completed(WriteResult<HttpContent, SocketAddress> result) {
-                loop.post(() -> answered(c, ends, status == 413));
+                loop.post(() -> answered(c, ends));
             }
 
             @Override
             public void failed(Throwable t) {
                 c.connection.closeSilently();
-                loop.post(() -> answered(c, false, false));
+                loop.post(() -> answered(c, false));
             }
         });
     }
 
-    private void answered(IngressConnection c, boolean ends, boolean lingers) {
+    private void answered(IngressConnection c, boolean ends) {
         writing--;
         if (c.current != null) {
             // Gives the buffer with its headers back to the pool; else it would be left to the collector.
@@ -258,21 +352,33 @@
         }
         c.current = null;
         c.lastUsedUs = loop.nowUs();
-        if (lingers) {
-            // Closing at once, with bytes unread, would reset the connection and eat the answer.
-            loop.after(LINGER_US, c.connection::closeSilently);
-        } else if (ends) {
+        if (ends) {
             c.connection.closeSilently();
         } else if (!c.ahead.isEmpty()) {
+            if (c.ahead.size() == MOST_AHEAD) {
+                reads(c, true);
+            }
             begin(c, c.ahead.poll());
+        } else if (c.fault != 0 && !c.closing) {
+            endWithError(c);
         }
     }
 
-    /** Guards against clients that stop in mid-request and against connections nobody uses any more. */
+    /** Guards against clients that say nothing, or stop in mid-request, and connections nobody uses any more. */
     private void sweep() {
         long now = loop.nowUs();
         for (IngressConnection c : new ArrayList<>(all)) {
-            if (c.idle() && now - c.lastUsedUs > SILENT_US) {
+            long inside = c.insideSinceUs;
+            boolean slow = inside != 0 ? now - inside > SLOW_US : !c.proven && now - c.openedUs > SLOW_US;
+            if (c.closing || !c.idle()) {
+                continue;
+            }
+            if (slow && inside != 0) {
+                invariants.count("ingress slow request");
+                c.fault = TIMED_OUT;
+                endWithError(c);
+            } else if (slow || now - c.lastUsedUs > SILENT_US) {
+                invariants.count("ingress silent");
                 c.connection.closeSilently();
             }
         }
--- a/src/test/java/hookweir/net/FailuresTest.java
+++ b/src/test/java/hookweir/net/FailuresTest.java
@@ -8,9 +8,15 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -199,4 +205,121 @@
             assertTrue(hear(client).startsWith("HTTP/1.1 400"));
         }
     }
+
+    /** A request that stood inside the body of another was passed on: it had two lengths, and is refused now. */
+    @Test
+    void hiddenRequestGoesNowhere() throws Exception {
+        try (TestNode n = new TestNode("read_like"); Socket client = n.connect()) {
+            String hidden = job("h2");
+            say(client, "POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: h1\r\nReq-Kind: render\r\nTransfer-Encoding: chunked\r\nContent-Length: "
+                + (5 + hidden.length()) + "\r\n\r\n0\r\n\r\n" + hidden);
+            assertTrue(hear(client).startsWith("HTTP/1.1 400"));
+            assertEquals("", hear(client));
+            assertEquals(0, n.node.invariants().counted("exchanges"));
+        }
+    }
+
+    /** What can't be read ends a connection, but only after the answer to what was taken before it. */
+    @Test
+    void takenRequestIsAnsweredBeforeTheError() throws Exception {
+        try (TestNode n = new TestNode("read_like"); Socket client = n.connect()) {
+            say(client, job("h3") + "\u0001");
+            try (Socket w = n.worker.accept()) {
+                hear(w);
+                say(w, TAKEN);
+                n.tell("h3", "s-01", "done");
+                assertTrue(hear(client).startsWith("HTTP/1.1 200"));
+                assertTrue(hear(client).startsWith("HTTP/1.1 400"));
+                assertEquals(-1, client.getInputStream().read());
+            }
+        }
+    }
+
+    /** Silent connections were kept for a minute, and half a request for ever. */
+    @Test
+    void silentAndSlowClientsAreSentAway() throws Exception {
+        try (TestNode n = new TestNode("read_like"); Socket silent = n.connect(); Socket slow = n.connect()) {
+            say(slow, "POST /api HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf");
+            assertEquals(-1, silent.getInputStream().read());
+            assertTrue(hear(slow).startsWith("HTTP/1.1 408"));
+        }
+    }
+
+    /** At the cap a good client's idle connection was closed for a silent one; those without a request go first. */
+    @Test
+    void silentCrowdTakesNoGoodClientsPlace() throws Exception {
+        List<Socket> crowd = new ArrayList<>();
+        try (TestNode n = new TestNode("read_like"); Socket good = n.connect()) {
+            say(good, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n");
+            assertTrue(hear(good).startsWith("HTTP/1.1 200"));
+            while (n.node.invariants().counted("ingress closed at the cap") == 0) {
+                crowd.add(n.connect());
+            }
+            say(good, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n");
+            assertTrue(hear(good).startsWith("HTTP/1.1 200"));
+        } finally {
+            for (Socket s : crowd) {
+                s.close();
+            }
+        }
+    }
+
+    /** Hundreds of requests sent ahead on one connection: closing it lost the one being answered. */
+    @Test
+    void manyRequestsAheadAreAllAnswered() throws Exception {
+        try (TestNode n = new TestNode("read_like"); Socket client = n.connect()) {
+            say(client, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n".repeat(400));
+            for (int i = 0; i < 400; i++) {
+                assertTrue(hear(client).startsWith("HTTP/1.1 200"));
+            }
+        }
+    }
+
+    /** A deadline that is no plain number was guessed at. */
+    @Test
+    void oddDeadlinesAreRefused() throws Exception {
+        try (TestNode n = new TestNode("read_like")) {
+            for (String odd : List.of("1e3", "-5", "0x10", "12.5", "soon", "1d", "99999999999")) {
+                assertTrue(n.ask(post("/api", "Req-Id: f1\r\nReq-Kind: render\r\nReq-Deadline-Ms: " + odd + "\r\n", "")).startsWith("HTTP/1.1 400"), odd);
+            }
+        }
+    }
+
+    /** A JVM ends on SIGHUP unless told otherwise. */
+    @Test
+    void hangUpIsHandled() throws Exception {
+        CountDownLatch heard = new CountDownLatch(1);
+        HangUp.handle(heard::countDown);
+        new ProcessBuilder("kill", "-HUP", Long.toString(ProcessHandle.current().pid())).start();
+        heard.await();
+    }
+
+    /** A reload goes over to the discovery that the file names, though a variable named another; a faulty file is passed over. */
+    @Test
+    void reloadMovesDiscovery() throws Exception {
+        try (TestNode n = new TestNode("read_like"); ServerSocket next = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            next.setSoTimeout(20_000);
+            try (Socket old = n.list.accept()) {
+                hear(old);
+                Path file = Files.createTempFile("hookweir", ".json");
+                Map<String, String> env = Map.of("RELAY_CONFIG", file.toString(), "RELAY_DISCOVERY", "127.0.0.1:1");
+                Files.writeString(file, "{'discovery':");
+                n.node.reload(env);
+                assertEquals(1, n.node.invariants().counted("reloads refused"));
+                Files.writeString(file, n.config("127.0.0.1:" + next.getLocalPort()));
+                n.node.reload(env);
+                Files.delete(file);
+                String list = ("{'version':3,'full':true,'servers':[" + n.entry("DRAINING") + "]}").replace('\'', '"');
+                try (Socket d = next.accept()) {
+                    assertTrue(hear(d).startsWith("GET /v1/servers HTTP/1.1\r\n")); // versions there may be counted anew
+                    say(d, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+                }
+                try (Socket d = next.accept()) {
+                    assertTrue(hear(d).startsWith("GET /v1/servers?watch=1&after=3 HTTP/1.1\r\n"));
+                }
+                assertEquals(-1, old.getInputStream().read());
+                assertEquals(2, n.node.invariants().counted("list updates"));
+            }
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/hookweir/net/FramingTest.java
@@ -0,0 +1,95 @@
+package hookweir.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import hookweir.net.ingress.Framing;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What is framed beyond doubt passes however cut; anything else is a fault, with nothing read after it. */
+class FramingTest {
+    private static final String PLAIN = "POST /api/7f?x=1 HTTP/1.1\r\nHost: h\r\nReq-Id: 1\r\nContent-Length: 4\r\n\r\nwork";
+    private static final String CHUNKED = "POST /api HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n1;x=y\r\nd\r\n0\r\nT: 1\r\n\r\n";
+    private static final String BARE = "GET /healthz HTTP/1.0\r\n\r\n";
+
+    /** Messages that ended in these bytes, fed in pieces; a fault as its negative. */
+    private static int read(Framing f, byte[] bytes, List<Integer> lengths) {
+        int messages = 0;
+        for (int from = 0, i = 0; from < bytes.length; i++) {
+            int to = i < lengths.size() ? Math.min(bytes.length, from + lengths.get(i)) : bytes.length;
+            int end = f.scan(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, Arrays.copyOfRange(bytes, from, to)));
+            if (f.fault() != 0) {
+                return -f.fault();
+            }
+            assertTrue(end > 0);
+            messages += f.whole() ? 1 : 0;
+            from += end;
+        }
+        return messages;
+    }
+
+    private static int read(String head) {
+        return read(new Framing(), head.getBytes(StandardCharsets.ISO_8859_1), List.of());
+    }
+
+    @Property(seed = "21", tries = 300)
+    void messagesEndWhereTheyEndHoweverCut(@ForAll @Size(max = 60) List<@IntRange(min = 1, max = 30) Integer> lengths) {
+        Framing f = new Framing();
+        assertEquals(4, read(f, (PLAIN + CHUNKED + BARE + PLAIN).getBytes(StandardCharsets.US_ASCII), lengths));
+        assertFalse(f.inside());
+    }
+
+    @Property(seed = "22", tries = 1000)
+    void garbageIsSurvived(@ForAll @Size(min = 1, max = 8) List<@IntRange(min = 0, max = 65_535) Integer> noise,
+            @ForAll @Size(max = 20) List<@IntRange(min = 1, max = 30) Integer> lengths) {
+        byte[] bytes = (CHUNKED + PLAIN).getBytes(StandardCharsets.US_ASCII);
+        for (int n : noise) {
+            bytes[(n >>> 8) % bytes.length] = (byte) n;
+        }
+        assertTrue(read(new Framing(), bytes, lengths) <= 2);
+    }
+
+    /** Each of these was let through, or left waiting, by the codec alone. */
+    @ParameterizedTest
+    @CsvSource({
+        "400, 'Content-Length: 4|Transfer-Encoding: chunked'", "400, 'Transfer-Encoding: chunked|Content-Length: 4'",
+        "400, 'Content-Length: 4|Content-Length: 5'", "400, 'Content-Length: -4'", "400, 'Content-Length: 4x'", "400, 'Content-Length: +4'",
+        "400, 'Content-Length:'", "400, 'Content-Length: 99999999999999999999'", "413, 'Content-Length: 62914560'",
+        "400, 'Transfer-Encoding: gzip, chunked'", "400, 'Transfer-Encoding: chunkedx'", "400, 'Content-Length : 4'",
+        "400, 'A: b| c'", "400, 'no header'", "400, 'A: b\u0001'", "400, 'A\u00e4: b'", "400, 'Upgrade: h2c'", "400, 'Req-Id: 1|Req-Id: 2'",
+        "400, 'Host: other'", "417, 'Expect: wonders'"})
+    void doubtfulHeadsAreFaults(int status, String headers) {
+        assertEquals(-status, read("POST /api HTTP/1.1\r\nHost: h\r\n" + headers.replace("|", "\r\n") + "\r\n\r\nwork"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"400, 'POST /a b HTTP/1.1'", "400, 'POST /a%zz HTTP/1.1'", "400, 'POST /a\u00ff HTTP/1.1'", "400, 'POST a HTTP/1.1'", "400, 'POST /a'",
+        "405, 'BREW /a HTTP/1.1'", "505, 'POST /a HTTP/2.0'", "400, ''"})
+    void doubtfulFirstLinesAreFaults(int status, String line) {
+        assertEquals(-status, read(line + "\r\nHost: h\r\n\r\n"));
+    }
+
+    @Test
+    void bareLineEndsAndEndlessHeadsAreFaults() {
+        assertEquals(-400, read("POST /api HTTP/1.1\nHost: h\n\n"));
+        assertEquals(-400, read("POST /api HTTP/1.1\r\nHost: h\rA: b\r\n\r\n"));
+        assertEquals(-400, read("POST /api HTTP/1.1\r\n\r\n")); // no host
+        assertEquals(-431, read("POST /api HTTP/1.1\r\n" + "A: b\r\n".repeat(65)));
+        assertEquals(-431, read("POST /api HTTP/1.1\r\nA: " + "b".repeat(Transport.MOST_HEADER_BYTES)));
+        assertEquals(-413, read("POST /api HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n"));
+        assertEquals(-400, read("POST /api HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n"));
+        assertEquals(-400, read("POST /api HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab"));
+    }
+}
--- a/src/test/java/hookweir/net/TestNode.java
+++ b/src/test/java/hookweir/net/TestNode.java
@@ -21,6 +21,8 @@
     final Node node;
     final int port;
     final Thread loop;
+    private final String semantics;
+    private final long deadlineUs;
 
     /** The class's semantics: read_like, non_idempotent or idempotency_key. */
     TestNode(String semantics) throws IOException {
@@ -28,15 +30,12 @@
     }
 
     TestNode(String semantics, long deadlineUs) throws IOException {
+        this.semantics = semantics;
+        this.deadlineUs = deadlineUs;
         worker.setSoTimeout(20_000);
         list.setSoTimeout(20_000);
         Path file = Files.createTempFile("hookweir", ".json");
-        Files.writeString(file, ("{'listen':'127.0.0.1:0','discovery':'127.0.0.1:" + list.getLocalPort() + "','seed':'1',"
-            + "'known':{'version':7,'full':true,'servers':[" + entry("SERVING") + "]},"
-            + "'settings':{'classes':[{'name':'render','aim_us':" + deadlineUs / 2 + ",'deadline_us':" + deadlineUs + ",'semantics':'"
-            + semantics + "','key_scope':'all','window_us':20000000}],'zones':['a'],'kinds':['m'],"
-            + "'discovery':'ask','rules':{'ask_within_us':4000},"
-            + "'limits':{'max_attempts':3,'cancel':true,'dial_timeout_us':5000000}}}").replace('\'', '"'));
+        Files.writeString(file, config("127.0.0.1:" + list.getLocalPort()));
         Config config;
         try {
             config = ConfigReader.fromFile(file, Map.of());
@@ -56,6 +55,16 @@
         loop.start();
     }
 
+    /** The configuration, with discovery at this address. */
+    String config(String discovery) {
+        return ("{'listen':'127.0.0.1:0','discovery':'" + discovery + "','seed':'1','limits':{'sockets':128},"
+            + "'known':{'version':7,'full':true,'servers':[" + entry("SERVING") + "]},"
+            + "'settings':{'classes':[{'name':'render','aim_us':" + deadlineUs / 2 + ",'deadline_us':" + deadlineUs + ",'semantics':'"
+            + semantics + "','key_scope':'all','window_us':20000000}],'zones':['a'],'kinds':['m'],"
+            + "'discovery':'ask','rules':{'ask_within_us':4000},"
+            + "'limits':{'max_attempts':3,'cancel':true,'dial_timeout_us':5000000}}}").replace('\'', '"');
+    }
+
     String entry(String state) {
         return "{'id':'s-01','addr':'127.0.0.1:" + worker.getLocalPort() + "','zone':'a','kind':'m','cell':0,'state':'"
             + state + "','weight':1.0,'started_ms':0}";
