Send jobs on links of their own where kept links break; close clients' links early in a drain

Now Egress keeps a running mean of kept links that break under their next call. Above 2% a job that must not run twice, and above 20% any other, dials; probes go on using kept links, which keeps the mean honest, and are sent once more on a link of their own after a break. At most 8 idle links a target are kept.

Tried and undone: serving on kept client connections for 3.2 s after SIGTERM. Connections are closed at SIGTERM instead, as long as a job that can end in 3.2 s still begins here.

--- a/src/main/java/hookweir/Policy.java
+++ b/src/main/java/hookweir/Policy.java
@@ -181,9 +181,10 @@
         jobs.put(j.r.id, j);
         arrivals = arrivals * fade(now - arrivalsUs, RATE_WINDOW_S * 1e6) + 1;
         arrivalsUs = now;
-        host.timer(token(GUARD, j.r.id), Math.max(0, j.r.giveUpAtUs - now - 2 * set.tickUs));
+        long guardUs = leaveUs > 0 ? Math.min(leaveUs, j.r.giveUpAtUs) : j.r.giveUpAtUs;
+        host.timer(token(GUARD, j.r.id), Math.max(0, guardUs - now - 2 * set.tickUs));
         boolean firstTry = !r.repeat && born >= now - 4 * set.tickUs;
-        W lot = firstTry && leaveUs == 0 ? coldLot(j, now) : null;
+        W lot = firstTry && endsHere(j, now) ? coldLot(j, now) : null;
         if (lot != null && maySend(j, now)) send(j, lot, now);
         else start(j, now);
     }
@@ -218,7 +219,7 @@
     }
 
     private void start(Job j, long now) {
-        if (leaveUs > 0 && mayRefuse(j)) finish(j, now);
+        if (!endsHere(j, now) && mayRefuse(j)) finish(j, now);
         else if (checksOn && believed(j) && maySend(j, now)) look(j, now);
         else place(j, now);
     }
@@ -316,19 +317,20 @@
         host.send(j.r.id, w.e.id, 0);
     }
 
-    /** Jobs that may not end here in time are let go while others can still take them; no new one begins. */
+    /** Jobs that can't end here in time are let go while others can take them; the rest goes on till then. */
     @Override public void leaving(long now, long byUs) {
         leaveUs = byUs;
         for (Job j : new ArrayList<>(jobs.values())) {
-            if (j.done || j.bound) continue;
-            W at = j.out > 0 ? j.to[j.attempts - 1] : null;
-            double run = at == null ? 0 : j.r.hintUs * Math.max(1, 1 + kindPace[at.e.kind]);
-            boolean ends = at != null && (j.startedUs > 0 ? j.startedUs : now) + run < byUs;
-            if (mayRefuse(j) && !ends) finish(j, now);
-            else if (mayRefuse(j)) host.timer(token(GUARD, j.r.id), byUs - now);
+            if (j.done || j.bound || !mayRefuse(j)) continue;
+            if (!endsHere(j, j.out > 0 && j.startedUs > 0 ? j.startedUs : now)) finish(j, now);
+            else host.timer(token(GUARD, j.r.id), byUs - now);
         }
     }
 
+    private boolean endsHere(Job j, long startUs) {
+        return leaveUs == 0 || startUs + j.r.hintUs * Math.max(1, meanPace) < leaveUs;
+    }
+
     @Override public void progress(long now, int requestId, int attempt, int workerId, double share) {
         Job j = jobs.get(requestId);
         if (j != null && attempt == j.attempts - 1 && j.startedUs == 0) j.startedUs = now;
--- a/src/main/java/hookweir/net/Dialer.java
+++ b/src/main/java/hookweir/net/Dialer.java
@@ -64,7 +64,8 @@
             HttpContent content = ctx.getMessage();
             Link link = LINK.get(ctx.getConnection());
             HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
-            if (link == null || HttpContent.isBroken(content)) {
+            // An answer that nobody asked for has no request to belong to.
+            if (link == null || HttpContent.isBroken(content) || head.getRequest() == null) {
                 ctx.getConnection().closeSilently();
                 return ctx.getStopAction();
             }
--- a/src/main/java/hookweir/net/Hop.java
+++ b/src/main/java/hookweir/net/Hop.java
@@ -16,6 +16,9 @@
 
     private static final long NEAR_END_US = 1_000;
     private static final int TAKEN = 202;
+    /** Kept links that break cost a repeatable job a further hop, and the others all. */
+    private static final double SOME_BREAKS = 0.2;
+    private static final double FEW_BREAKS = 0.02;
 
     private enum Stage { DIALLING, SENDING, SENT, TAKEN, GIVING_UP, OVER }
 
@@ -45,7 +48,7 @@
     /** Sends it; stops waiting after so long. */
     void start(long withinUs) {
         limit = host.loop().after(withinUs, () -> giveUp(Outcome.TIMEOUT));
-        Link got = egress.link(target, this);
+        Link got = egress.link(target, this, host.repeatable(exchange) ? SOME_BREAKS : FEW_BREAKS);
         if (got == null) {
             over(Outcome.CONNECT_FAILED, null, null);
         } else if (!over()) {
@@ -124,6 +127,7 @@
         if (!piece.last()) {
             return;
         }
+        egress.used(l, false);
         egress.release(target, l, piece.keepAlive());
         link = null;
         if (!waiting || stage == Stage.TAKEN) {
@@ -138,6 +142,7 @@
 
     @Override
     public void down(Link l) {
+        egress.used(l, true);
         egress.end(l);
         link = null;
         if (stage == Stage.DIALLING || stage == Stage.SENDING) {
--- a/src/main/java/hookweir/net/Link.java
+++ b/src/main/java/hookweir/net/Link.java
@@ -61,6 +61,8 @@
 
     /** Set by its pool when it was last put aside. */
     public long idleSinceUs;
+    /** Set by its pool: it carried a call before the present one. */
+    public boolean kept;
 
     Link(Loop loop, long dialLimitUs, Handler handler) {
         this.loop = loop;
--- a/src/main/java/hookweir/net/SocketHost.java
+++ b/src/main/java/hookweir/net/SocketHost.java
@@ -38,6 +38,8 @@
     private static final int OWN_DESCRIPTORS = 64;
     private static final int PROBE_DIAL_LIMITS = 2;
     private static final int TAKE_DIAL_LIMITS = 6;
+    /** No share of breaks is low enough: a link of its own. */
+    private static final double NO_KEPT = -1;
     private static final long LOG_EVERY_US = 10_000_000;
     private static final int MOST_TAKEN = 4096;
     /** SIGKILL comes no sooner than 3.7 s after SIGTERM; what can still be tried elsewhere is let go before. */
@@ -330,7 +332,11 @@
 
         void start() {
             limit = loop.after(probeLimitUs, () -> end(Outcome.TIMEOUT, null));
-            if (egress.link(target, this) == null) {
+            dial(1);
+        }
+
+        private void dial(double mostBreaks) {
+            if (egress.link(target, this, mostBreaks) == null) {
                 end(Outcome.CONNECT_FAILED, null);
             }
         }
@@ -371,6 +377,7 @@
             }
             if (piece.last()) {
                 done = true;
+                egress.used(l, false);
                 egress.release(target, l, piece.keepAlive());
                 end(piece.status() == 200 ? Outcome.OK : piece.declined() ? Outcome.FULL : Outcome.ERROR, piece);
             }
@@ -378,8 +385,17 @@
 
         @Override
         public void down(Link l) {
-            done = true;
+            boolean kept = l.kept;
+            egress.used(l, true);
             egress.end(l);
+            if (kept && !over) {
+                // A kept link may have been closed unseen, which says nothing of the worker; an errand may be repeated.
+                invariants.count("errands once more");
+                written = false;
+                dial(NO_KEPT);
+                return;
+            }
+            done = true;
             end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
         }
     }
@@ -480,8 +496,8 @@
     // ---- a planned end ----
 
     /**
-     * After SIGTERM: lets the module refuse what it can't see to its end, ends the clients' connections between
-     * requests, goes on accepting and answering, and stops the loop once nothing is held.
+     * After SIGTERM: ends the clients' connections between requests, so that they go to other schedulers, lets
+     * the module refuse what it can't see to its end, and stops the loop once nothing is held.
      */
     public void drain() {
         if (!draining) {
--- a/src/main/java/hookweir/net/egress/Egress.java
+++ b/src/main/java/hookweir/net/egress/Egress.java
@@ -17,6 +17,8 @@
     private static final long SWEEP_US = 500_000;
     private static final double IDLE_SHARE = 0.9;
     private static final long IDLE_MARGIN_US = 1_000_000;
+    private static final int MOST_IDLE = 8;
+    private static final double BREAKS_GAIN = 0.1;
 
     private final Loop loop;
     private final Dialer dialer;
@@ -26,6 +28,8 @@
     private final int mostLinks;
     private final Map<Integer, EgressTarget> targets = new HashMap<>();
     private final Set<Link> open = new HashSet<>();
+    /** A running mean: the share of kept links that broke under their next call. */
+    private double keptBreaks;
 
     public Egress(Loop loop, Dialer dialer, Invariants invariants, long dialLimitUs, long connIdleUs, int mostLinks) {
         this.loop = loop;
@@ -78,12 +82,15 @@
     /**
      * Gets a link to the target: the newest idle one at once, else by a dial.
      *
+     * @param mostBreaks the share of kept links that may break under their next call for one to be used all the
+     *     same; 1 where a break does no harm
      * @return the link that is dialled or ready; null if there is no room for another
      */
-    public Link link(EgressTarget target, Link.Handler handler) {
-        while (!target.idle.isEmpty()) {
+    public Link link(EgressTarget target, Link.Handler handler, double mostBreaks) {
+        while (!target.idle.isEmpty() && keptBreaks <= mostBreaks) {
             Link link = target.idle.pollFirst();
             if (link.isFree()) {
+                link.kept = true;
                 link.rest(handler);
                 handler.up(link);
                 return link;
@@ -111,6 +118,17 @@
         return false;
     }
 
+    /** A call over this link came to an answer or broke: what kept links are worth is learnt by it. */
+    public void used(Link link, boolean broke) {
+        if (link.kept) {
+            keptBreaks += BREAKS_GAIN * ((broke ? 1 : 0) - keptBreaks);
+            link.kept = false;
+            if (broke) {
+                invariants.count("egress kept links broke");
+            }
+        }
+    }
+
     /** Takes a link back after a call; it is kept if it can carry another. */
     public void release(EgressTarget target, Link link, boolean keepAlive) {
         if (!keepAlive || !link.isFree() || targets.get(target.id) != target) {
@@ -133,6 +151,9 @@
             }
         });
         target.idle.addFirst(link);
+        if (target.idle.size() > MOST_IDLE) {
+            end(target.idle.pollLast());
+        }
     }
 
     /** Closes a link, or forgets one that is down. */
--- a/src/test/java/hookweir/PolicyRulesTest.java
+++ b/src/test/java/hookweir/PolicyRulesTest.java
@@ -303,7 +303,7 @@
         assertEquals(1, h.actions.size());
     }
 
-    /** At a planned end a job too long to finish is refused at once, if that is harmless, and no new one begins. */
+    /** At a planned end a job too long to finish is refused at once, if that is harmless, and a new one too. */
     @ParameterizedTest
     @CsvSource({"SAFE, 9000000, 1, 1", "SAFE, 100000, 0, 1", "UNSAFE, 9000000, 0, 0"})
     void whoLeavesLetsLongJobsGo(Effect effect, long hintUs, int atOnce, int inTheEnd) {
@@ -315,7 +315,9 @@
         h.policy.request(h.now, r);
         h.policy.leaving(h.now, h.now + 3_000_000);
         assertEquals(atOnce, h.count("refuse 1"));
-        h.take(2, s);
+        Contract.Request late = h.request(2, s);
+        late.hintUs = 9_000_000;
+        h.policy.request(h.now, late);
         assertEquals(1, h.count("refuse 2"));
         h.pass(3_000_000);
         assertEquals(inTheEnd, h.count("refuse 1"));
--- a/src/test/java/hookweir/net/FailuresTest.java
+++ b/src/test/java/hookweir/net/FailuresTest.java
@@ -6,8 +6,10 @@
 import static hookweir.net.TestNode.say;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -351,4 +353,61 @@
             assertTrue(n.ask(job("i2").replace("render", "none")).startsWith("HTTP/1.1 400"));
         }
     }
+
+    /** Kept links that break under their next call failed jobs that must not run twice; these get links of their own. */
+    @Test
+    void unsafeJobsAvoidKeptLinksWhereTheseBreak() throws Exception {
+        try (TestNode n = new TestNode("non_idempotent"); Socket client = n.connect()) {
+            try (Socket w = serveOnce(n, client, null, 0)) {
+                say(client, job("k1"));
+                hear(w);
+            }
+            assertTrue(hear(client).startsWith("HTTP/1.1 500"));
+            try (Socket first = serveOnce(n, client, null, 2); Socket second = serveOnce(n, client, null, 3)) {
+                assertTrue(first.isConnected() && second.isConnected());
+            }
+        }
+    }
+
+    /** A probe that broke a kept link spoke against the worker; it is sent once more on a link of its own. */
+    @Test
+    void probesBreakNoWorker() throws Exception {
+        try (TestNode n = new TestNode("read_like", 20_000_000, true); Socket client = n.connect()) {
+            Thread worker = new Thread(() -> {
+                try {
+                    while (true) {
+                        Socket w = n.worker.accept();
+                        new Thread(() -> linkThatCarriesOneProbe(n, w)).start();
+                    }
+                } catch (IOException e) {
+                    assertTrue(n.worker.isClosed());
+                }
+            });
+            worker.start();
+            for (int i = 0; n.node.invariants().counted("errands once more") == 0; i++) {
+                say(client, job("p" + i));
+                assertTrue(hear(client).startsWith("HTTP/1.1 200"));
+            }
+            assertEquals(0, n.node.invariants().counted("hops RESET"));
+        }
+    }
+
+    private static void linkThatCarriesOneProbe(TestNode n, Socket w) {
+        try (w) {
+            int probes = 0;
+            for (String call = hear(w); !call.isEmpty(); call = hear(w)) {
+                if (call.startsWith("POST")) {
+                    say(w, TAKEN);
+                    int at = call.indexOf("Req-Id: ") + 8;
+                    n.tell(call.substring(at, call.indexOf('\r', at)), "s-01", "done");
+                } else if (probes++ == 0) {
+                    say(w, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nx0=1");
+                } else {
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            assertNotNull(e); // the scheduler may end it, too
+        }
+    }
 }
--- a/src/test/java/hookweir/net/TestNode.java
+++ b/src/test/java/hookweir/net/TestNode.java
@@ -23,6 +23,7 @@
     final Thread loop;
     private final String semantics;
     private final long deadlineUs;
+    private final boolean probes;
 
     /** The class's semantics: read_like, non_idempotent or idempotency_key. */
     TestNode(String semantics) throws IOException {
@@ -30,6 +31,11 @@
     }
 
     TestNode(String semantics, long deadlineUs) throws IOException {
+        this(semantics, deadlineUs, false);
+    }
+
+    TestNode(String semantics, long deadlineUs, boolean probes) throws IOException {
+        this.probes = probes;
         this.semantics = semantics;
         this.deadlineUs = deadlineUs;
         worker.setSoTimeout(20_000);
@@ -62,7 +68,8 @@
             + "'settings':{'classes':[{'name':'render','aim_us':" + deadlineUs / 2 + ",'deadline_us':" + deadlineUs + ",'semantics':'"
             + semantics + "','key_scope':'all','window_us':20000000}],'zones':['a'],'kinds':['m'],"
             + "'discovery':'ask','rules':{'ask_within_us':4000},"
-            + "'limits':{'max_attempts':3,'cancel':true,'dial_timeout_us':5000000}}}").replace('\'', '"');
+            + "'stats':{'via':'pull','fields':['x0','errors_per_s']},"
+            + "'limits':{'max_attempts':3,'probes':" + probes + ",'cancel':true,'dial_timeout_us':5000000}}}").replace('\'', '"');
     }
 
     String entry(String state) {
