--- a/src/main/java/hookweir/Policy.java
+++ b/src/main/java/hookweir/Policy.java
@@ -39,6 +39,9 @@
     private static final double RESERVE = 0.25; // of a worker is left free by work that is late already
     private static final double PRIOR = 0.01; // worker at half fill in the mean, for want of figures
     private static final double RATE_WINDOW_S = 5; // requests of so many seconds make up the request rate
+    private static final double BLAME = 0.3; // of each failed job on its worker, and taken off by a good one
+    private static final double EXCUSED = 0.4; // a single failure says little: the next call may do well
+    private static final double FORGIVEN = 10; // mean jobs in which most of the blame fades
     private static final int MOST_ASIDE = 32; // mean jobs that a worker is left alone after failures, at most
     private static final long BACK_SOON_US = 300_000; // by then clients come to others than one that leaves
     private static final double SHYER = 0.95, BOLDER = 0.02, SHYEST = 0.05; // steps and floor of eagerness
@@ -52,7 +55,8 @@
         boolean ready, cold, listed, checkOut;
         long hash, startedUs, heardUs, sentUs, figureUs, fullUntilUs, asideUntilUs;
         double busy = Double.NaN, serviceMs = Double.NaN;
-        double free, utilization, sizeMax, sent, fresh;
+        double free, utilization, sizeMax, sent, fresh, bad;
+        long badUs;
     }
 
     /** An open request, kept until its last attempt is back. */
@@ -154,7 +158,7 @@
         w.startedUs = startedUs;
         w.cold = startedUs > 0;
         w.busy = w.serviceMs = Double.NaN;
-        w.sent = w.failures = 0;
+        w.sent = w.bad = w.failures = 0;
         w.asideUntilUs = w.fullUntilUs = 0;
     }
 
@@ -358,6 +362,7 @@
         Job j = jobs.get(requestId);
         if (w != null) {
             judge(w, outcome, now);
+            blame(w, outcome, now);
             if (report != null) take(w, report, now);
             if (outcome == Outcome.FULL) {
                 // A blocked call: full, whatever an older report says, until about two slots have freed up.
@@ -389,7 +394,7 @@
         return old + GAIN * (Math.min(sample, 4 * old) - old);
     }
 
-    /** A worker that failed this dispatcher is set aside, longer each time; it is back once it answers. */
+    /** A worker out of reach is set aside, longer each time; it is back once it answers. */
     private void judge(W w, Outcome outcome, long now) {
         if (outcome == Outcome.OK || outcome == Outcome.FULL) {
             w.failures = 0;
@@ -401,6 +406,18 @@
         }
     }
 
+    /** Departure: room counts by the share of jobs that end well there: a fast error is not free room. */
+    private void blame(W w, Outcome outcome, long now) {
+        boolean failed = outcome == Outcome.ERROR || outcome == Outcome.TIMEOUT;
+        if (!failed && outcome != Outcome.OK) return;
+        w.bad = blame(w, now) * (1 - BLAME) + (failed ? BLAME : 0);
+        w.badUs = now;
+    }
+
+    private double blame(W w, long now) {
+        return w.bad == 0 ? 0 : w.bad * fade(now - w.badUs, FORGIVEN * serviceUs);
+    }
+
     @Override public void streaming(long now, int requestId, int attempt) {
         Job j = jobs.get(requestId);
         if (j != null) j.bound = true;
@@ -505,6 +522,7 @@
             room = Math.max(room - (j.slots - 1), room * 0.1);
             // Departure: room counts by the worker's speed as reports tell it, else by its kind's as seen.
             room *= Math.min(2, w.serviceMs > 0 ? meanMs / w.serviceMs : meanPace / (1 + kindPace[w.e.kind]));
+            room *= blame(w, now) < EXCUSED ? 1 : 1 - blame(w, now);
             // Departure: a heavy job goes where its run can still end in time: slow cores outlast its client.
             double run = j.r.hintUs * Math.max(1, 1 + kindPace[w.e.kind]);
             room *= run > HEAVY * serviceUs && now + run > j.aimUs ? TOO_SLOW : 1;
--- a/src/main/java/hookweir/net/Node.java
+++ b/src/main/java/hookweir/net/Node.java
@@ -45,7 +45,9 @@
             Log.line("hookweir: listen " + config.listen() + " can't be used: " + e.getMessage());
             return 1;
         }
-        Log.line(config.name() + " serves on port " + port);
+        var settings = config.settings().settings;
+        Log.line(config.name() + " serves on port " + port + ", scheduler " + settings.me + " of " + settings.dispatchers
+            + " in zone " + settings.zone);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             drain();
             awaitEnd();
--- a/src/test/java/hookweir/PolicyDrawTest.java
+++ b/src/test/java/hookweir/PolicyDrawTest.java
@@ -265,4 +265,27 @@
         h.pass(100_000);
         assertEquals(1, h.sentTo.size());
     }
+
+    /** A worker that fails its jobs at once always read roomy, and drew a full share of them. */
+    @Test
+    void fastErrorsAreNoFreeRoom() {
+        Contract.Settings s = settings(Contract.Effect.SAFE);
+        int drawn = 0;
+        for (int seed = 0; seed < 50; seed++) {
+            RecordingHost h = RecordingHost.with(s, seed);
+            h.fleet(worker(1), worker(2), worker(3));
+            for (int id = 0; id < 30; id++) {
+                for (int w = 1; w <= 3; w++) {
+                    h.report(w, 40);
+                }
+                h.take(id, s);
+                int at = h.sentTo.get(id);
+                h.ends(id, 0, at, at == 1 ? Contract.Outcome.ERROR : Contract.Outcome.OK, true);
+                h.pass(100_000);
+                drawn += at == 1 && id >= 15 ? 1 : 0;
+            }
+        }
+        assertTrue(drawn < 750 / 4, "of 750 draws a third would be even: " + drawn);
+        assertTrue(drawn > 15, "it is tried again: " + drawn);
+    }
 }
