Refuse at a planned end only what no worker can finish in time

At fault: endsHere took max(1, meanPace), which holds the wait in workers' queues, while a large worker runs at up to 1.8 times the hint's speed.

Now a job is let go early only where 0.6 of its hint is too long, and the last refusals come at 3.5 s: SIGKILL comes at 3.7 s at the earliest.

--- a/src/main/java/hookweir/Policy.java
+++ b/src/main/java/hookweir/Policy.java
@@ -43,6 +43,7 @@
     private static final double EXCUSED = 0.4; // a single failure says little: the next call may do well
     private static final double FORGIVEN = 10; // mean jobs in which most of the blame fades
     private static final int MOST_ASIDE = 32; // mean jobs that a worker is left alone after failures, at most
+    private static final double BEST_PACE = 0.6; // of a job's hint is the least that its run takes anywhere
     private static final long BACK_SOON_US = 300_000; // by then clients come to others than one that leaves
     private static final double SHYER = 0.95, BOLDER = 0.02, SHYEST = 0.05; // steps and floor of eagerness
 
@@ -332,7 +333,7 @@
     }
 
     private boolean endsHere(Job j, long startUs) {
-        return leaveUs == 0 || startUs + j.r.hintUs * Math.max(1, meanPace) < leaveUs;
+        return leaveUs == 0 || startUs + (long) (j.r.hintUs * BEST_PACE) < leaveUs;
     }
 
     @Override public void progress(long now, int requestId, int attempt, int workerId, double share) {
--- a/src/main/java/hookweir/net/SocketHost.java
+++ b/src/main/java/hookweir/net/SocketHost.java
@@ -43,7 +43,7 @@
     private static final long LOG_EVERY_US = 10_000_000;
     private static final int MOST_TAKEN = 4096;
     /** SIGKILL comes no sooner than 3.7 s after SIGTERM; what can still be tried elsewhere is let go before. */
-    private static final long LET_GO_AFTER_US = 3_200_000;
+    private static final long LET_GO_AFTER_US = 3_500_000;
     private static final long EXIT_AFTER_US = 900_000;
     private static final long EXIT_POLL_US = 50_000;
 
--- a/src/test/java/hookweir/PolicyRulesTest.java
+++ b/src/test/java/hookweir/PolicyRulesTest.java
@@ -305,7 +305,7 @@
 
     /** At a planned end a job too long to finish is refused at once, if that is harmless, and a new one too. */
     @ParameterizedTest
-    @CsvSource({"SAFE, 9000000, 1, 1", "SAFE, 100000, 0, 1", "UNSAFE, 9000000, 0, 0"})
+    @CsvSource({"SAFE, 9000000, 1, 1", "SAFE, 4000000, 0, 1", "SAFE, 100000, 0, 1", "UNSAFE, 9000000, 0, 0"})
     void whoLeavesLetsLongJobsGo(Effect effect, long hintUs, int atOnce, int inTheEnd) {
         Contract.Settings s = settings(effect);
         RecordingHost h = RecordingHost.with(s, 4);
