Add the operators' address: health, and clients sent away and called back

Design: net.admin.AdminListener is a filter chain of its own on the one transport; it answers on the selector from Standing, a few volatile flags that /healthz reads too, so no answer waits for the loop. Rejected: the calls as further paths of the clients' ingress on another port. Its requests queue for the loop, its caps and eviction are the clients', and a crowd there would keep operators out.

At fault besides: Ingress.leave closed connections in mid-request (IngressConnection.idle knows no half request); resting() does now, and quiet() waits for them. Ruled out: the codec refusing a PUT without a length (it takes it); a packet recycled inside its own write corrupted the next call, so that is posted.

--- a/src/main/java/hookweir/config/Config.java
+++ b/src/main/java/hookweir/config/Config.java
@@ -8,12 +8,13 @@
  *
  * @param name the scheduler's name, for the log
  * @param listen where clients and call-backs connect
+ * @param admin the operators' address, or null
  * @param discovery where the list of workers is served
  * @param seed for the module's draws
  * @param sockets descriptors that the process may hold
  * @param known the list as last held, in discovery's form, or null
  * @param settings the deployment's settings
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-    JsonNode known, SettingsMapping settings) {
+public record Config(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery, long seed,
+    int sockets, JsonNode known, SettingsMapping settings) {
 }
--- a/src/main/java/hookweir/config/ConfigReader.java
+++ b/src/main/java/hookweir/config/ConfigReader.java
@@ -72,8 +72,10 @@
         if (!known.isMissingNode() && !known.isNull() && !known.path("servers").isArray()) {
             throw new BadSetting("known", "must hold a list 'servers'");
         }
+        String admin = text(root, "admin_addr", env, "RELAY_ADMIN_ADDR", "");
         return new Config(text(root, "name", env, "RELAY_NAME", "hookweir"),
             address("listen", text(root, "listen", env, "RELAY_LISTEN", "")),
+            admin.isEmpty() ? null : address("admin_addr", admin),
             address("discovery", text(root, "discovery", env, "RELAY_DISCOVERY", "")),
             seed(root), sockets(root), known.isObject() ? known : null, settings);
     }
--- a/src/main/java/hookweir/net/Node.java
+++ b/src/main/java/hookweir/net/Node.java
@@ -3,7 +3,10 @@
 import hookweir.config.BadSetting;
 import hookweir.config.Config;
 import hookweir.config.ConfigReader;
+import hookweir.net.admin.AdminListener;
+import hookweir.net.admin.Standing;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 
@@ -13,12 +16,14 @@
     private final Invariants invariants = new Invariants();
     private final Loop loop = new Loop(invariants);
     private final Transport transport = new Transport(invariants);
+    private final Standing standing = new Standing();
     private final SocketHost host;
+    private int adminPort;
     private final CountDownLatch ended = new CountDownLatch(1);
 
     public Node(Config config) {
         this.config = config;
-        host = new SocketHost(config, loop, transport, invariants);
+        host = new SocketHost(config, loop, transport, invariants, standing);
     }
 
     /**
@@ -42,7 +47,7 @@
         try {
             port = start();
         } catch (IOException e) {
-            Log.line("hookweir: listen " + config.listen() + " can't be used: " + e.getMessage());
+            Log.line("hookweir: " + e.getMessage());
             return 1;
         }
         var settings = config.settings().settings;
@@ -59,9 +64,32 @@
     /** Binds and seeds; the port that it got. {@link #run} is to follow. */
     public int start() throws IOException {
         transport.start();
+        if (config.admin() != null) {
+            adminPort = bound("admin_addr", config.admin(), () -> new AdminListener(loop, transport, invariants, standing,
+                () -> loop.post(host::turned)).listen(config.admin()));
+        }
         // Seeded before any request can be read, as this is posted first.
         loop.post(() -> host.start(config));
-        return host.ingress().listen(config.listen());
+        int port = bound("listen", config.listen(), () -> host.ingress().listen(config.listen()));
+        standing.serves();
+        return port;
+    }
+
+    /** The operators' port, once started; 0 where they have no address. */
+    public int adminPort() {
+        return adminPort;
+    }
+
+    private interface Binding {
+        int bind() throws IOException;
+    }
+
+    private static int bound(String key, InetSocketAddress at, Binding binding) throws IOException {
+        try {
+            return binding.bind();
+        } catch (IOException e) {
+            throw new IOException("setting " + key + " names " + at + ", which can't be used: " + e.getMessage(), e);
+        }
     }
 
     /** The loop, on the calling thread, until the end of a drain. */
@@ -80,6 +108,11 @@
         loop.post(host::drain);
     }
 
+    /** Runs the task on the loop. */
+    void post(Runnable task) {
+        loop.post(task);
+    }
+
     /** Ends at once, whatever is held. */
     public void stop() {
         loop.post(loop::stop);
--- a/src/main/java/hookweir/net/SocketHost.java
+++ b/src/main/java/hookweir/net/SocketHost.java
@@ -5,6 +5,7 @@
 import hookweir.Contract.Report;
 import hookweir.Policy;
 import hookweir.config.Config;
+import hookweir.net.admin.Standing;
 import hookweir.net.discovery.Discovery;
 import hookweir.net.discovery.ListUpdate;
 import hookweir.net.egress.Egress;
@@ -50,6 +51,7 @@
     private final Loop loop;
     private final Transport transport;
     private final Invariants invariants;
+    private final Standing standing;
     private final Contract.Settings settings;
     private final long probeLimitUs;
     private final Contract.Dispatcher module;
@@ -71,13 +73,13 @@
         }
     });
     private int lastId;
-    private boolean ready;
     private boolean draining;
 
-    public SocketHost(Config config, Loop loop, Transport transport, Invariants invariants) {
+    public SocketHost(Config config, Loop loop, Transport transport, Invariants invariants, Standing standing) {
         this.loop = loop;
         this.transport = transport;
         this.invariants = invariants;
+        this.standing = standing;
         settings = config.settings().settings;
         int usable = config.sockets() - OWN_DESCRIPTORS;
         int links = (int) Math.max(1, usable * EGRESS_SHARE);
@@ -101,7 +103,6 @@
         discovery.seeded(known.version());
         listed(new ListUpdate(known.version(), true, known.entries()));
         egress.start();
-        ready = true;
         loop.after(LOG_EVERY_US, this::report);
     }
 
@@ -164,7 +165,7 @@
                 ingress.answer(from, 405, null, NOTHING);
             }
         } else if (request.path().equals("/healthz")) {
-            ingress.answer(from, ready && !draining ? 200 : 503, null, NOTHING);
+            ingress.answer(from, standing.wantsClients() ? 200 : 503, null, NOTHING);
         } else if (!request.path().equals("/api") && !request.path().startsWith("/api/")) {
             // Classes without a key come to the bare path.
             invariants.count("ingress unknown path");
@@ -495,6 +496,13 @@
 
     // ---- a planned end ----
 
+    /** Operators sent clients away or called them back: those connected follow. A planned end is not undone by it. */
+    void turned() {
+        boolean away = standing.isQuiesced();
+        invariants.count(away ? "quiesced" : "resumed");
+        ingress.sendAway(away || draining);
+    }
+
     /**
      * After SIGTERM: ends the clients' connections between requests, so that they go to other schedulers, lets
      * the module refuse what it can't see to its end, and stops the loop once nothing is held.
@@ -502,9 +510,10 @@
     public void drain() {
         if (!draining) {
             draining = true;
+            standing.leaves();
             Log.line("draining, held=" + byName.size());
             long since = loop.nowUs();
-            ingress.leave();
+            ingress.sendAway(true);
             module.leaving(since, since + LET_GO_AFTER_US);
             loop.after(EXIT_AFTER_US, () -> exitWhenIdle(since));
         }
--- a/src/main/java/hookweir/net/ingress/Ingress.java
+++ b/src/main/java/hookweir/net/ingress/Ingress.java
@@ -57,6 +57,8 @@
     private static final long SILENT_US = 60_000_000;
     /** From accepting a connection to the end of its first request, and from a request's first byte to its last. */
     private static final long SLOW_US = 2_000_000;
+    /** A good client sends its first request sooner than this after connecting, or begins to. */
+    private static final long DUE_US = 500_000;
     private static final long SWEEP_US = 200_000;
     /** After an error that ends a connection, its client has so long to read it. */
     private static final long LINGER_US = 500_000;
@@ -82,7 +84,7 @@
     private final TCPNIOBindingHandler binding;
     private TCPNIOServerConnection listener;
     private final AtomicInteger accepted = new AtomicInteger();
-    private boolean leaving;
+    private boolean sendingAway;
     private int writing;
 
     @SuppressWarnings("deprecation") // no other constructor of the codec allows connections to be kept
@@ -338,7 +340,7 @@
                 regulate(c);
             });
         }
-        boolean ends = !request.keepAlive() || leaving && !c.carriesCallbacks;
+        boolean ends = !request.keepAlive() || sendingAway && !c.carriesCallbacks;
         HttpResponsePacket head = request.packet().getResponse();
         head.setStatus(status);
         head.setAcknowledgement(false);
@@ -400,7 +402,7 @@
                 invariants.count("ingress slow request");
                 c.fault = TIMED_OUT;
                 endWithError(c);
-            } else if (slow || now - c.lastUsedUs > SILENT_US) {
+            } else if (slow || now - c.lastUsedUs > SILENT_US || sendingAway && c.resting()) {
                 invariants.count("ingress silent");
                 c.connection.closeSilently();
             }
@@ -408,19 +410,23 @@
         loop.after(SWEEP_US, this::sweep);
     }
 
-    /** From now on answers end their connections, and idle ones are closed; new ones are still accepted. */
-    public void leave() {
-        leaving = true;
+    /**
+     * While on, answers end their connections and idle ones are closed; new ones are still accepted and served. A
+     * connection whose first request is due, or on which one is coming in, is not idle: its client would lose a job.
+     */
+    public void sendAway(boolean on) {
+        sendingAway = on;
         for (IngressConnection c : new ArrayList<>(all)) {
-            if (c.idle() && !c.carriesCallbacks) {
+            if (on && c.resting()) {
                 c.connection.closeSilently();
             }
         }
     }
 
-    /** Nothing is being read or answered. */
+    /** Nothing is being read or answered, and no connection is so young that its request may be on the way. */
     public boolean quiet() {
-        return writing == 0 && all.stream().allMatch(c -> c.idle());
+        long youngUs = loop.nowUs() - DUE_US;
+        return writing == 0 && all.stream().allMatch(c -> c.idle() && c.insideSinceUs == 0 && (c.proven || c.openedUs < youngUs));
     }
 
     /** Open connections. */
--- a/src/main/java/hookweir/net/ingress/IngressConnection.java
+++ b/src/main/java/hookweir/net/ingress/IngressConnection.java
@@ -42,6 +42,11 @@
         this.lastUsedUs = openedUs;
     }
 
+    /** A client's kept connection between requests: it may be closed and nothing is lost. */
+    boolean resting() {
+        return idle() && proven && insideSinceUs == 0 && !carriesCallbacks;
+    }
+
     /** It waits for a request. */
     boolean idle() {
         return current == null && ahead.isEmpty();
--- a/src/test/java/hookweir/net/TestNode.java
+++ b/src/test/java/hookweir/net/TestNode.java
@@ -63,7 +63,7 @@
 
     /** The configuration, with discovery at this address. */
     String config(String discovery) {
-        return ("{'listen':'127.0.0.1:0','discovery':'" + discovery + "','seed':'1','limits':{'sockets':128},"
+        return ("{'listen':'127.0.0.1:0','admin_addr':'127.0.0.1:0','discovery':'" + discovery + "','seed':'1','limits':{'sockets':128},"
             + "'known':{'version':7,'full':true,'servers':[" + entry("SERVING") + "]},"
             + "'settings':{'classes':[{'name':'render','aim_us':" + deadlineUs / 2 + ",'deadline_us':" + deadlineUs + ",'semantics':'"
             + semantics + "','key_scope':'all','window_us':20000000}],'zones':['a'],'kinds':['m'],"
@@ -83,6 +83,20 @@
         return s;
     }
 
+    /** An operators' call, on a connection of its own; all that comes of it. */
+    String call(String method, String path) throws IOException {
+        try (Socket s = admin()) {
+            say(s, method + " /admin/" + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+            return new String(s.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    Socket admin() throws IOException {
+        Socket s = new Socket(InetAddress.getLoopbackAddress(), node.adminPort());
+        s.setSoTimeout(20_000);
+        return s;
+    }
+
     /** Waits until something was counted so often. */
     void awaitCount(String name, long times) throws InterruptedException {
         while (node.invariants().counted(name) < times) {
