Upgrade beside a running process: inherited socket, call-backs passed on

Design: net.upgrade.Succession. Both accept from the inherited socket; the new one opens its door when discovery's present list is there and tells the old one, which turns off its accept event, closes resting connections and serves what it has. A call-back for an unknown job goes to the neighbour over a Unix-domain socket before it is answered. Rejected: the new process reaching the old one by its operators' address, which the new one isn't told; and handing open jobs over, as client connections can't be passed between JVMs without native code.

Checked: closing the inherited channel detaches standard output and error, so the event is turned off instead; a lost accept race returns null and Grizzly passes over it; the channel's streams lock reads against writes, so buffers are read and written directly. Ruled out: SO_REUSEPORT, as the platform holds the one socket.

--- a/src/main/java/hookweir/config/Config.java
+++ b/src/main/java/hookweir/config/Config.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 
 /**
  * All that a scheduler is told at its start, checked. Made by {@link ConfigReader} only.
@@ -14,7 +15,9 @@
  * @param sockets descriptors that the process may hold
  * @param known the list as last held, in discovery's form, or null
  * @param settings the deployment's settings
+ * @param inherited the clients' listening socket is the platform's, handed on as descriptor 0
+ * @param meeting the name by which processes that share the socket find each other, or null
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery, long seed,
-    int sockets, JsonNode known, SettingsMapping settings) {
+    int sockets, JsonNode known, SettingsMapping settings, boolean inherited, Path meeting) {
 }
--- a/src/main/java/hookweir/config/ConfigReader.java
+++ b/src/main/java/hookweir/config/ConfigReader.java
@@ -72,12 +72,32 @@
         if (!known.isMissingNode() && !known.isNull() && !known.path("servers").isArray()) {
             throw new BadSetting("known", "must hold a list 'servers'");
         }
+        InetSocketAddress listen = address("listen", text(root, "listen", env, "RELAY_LISTEN", ""));
         String admin = text(root, "admin_addr", env, "RELAY_ADMIN_ADDR", "");
         return new Config(text(root, "name", env, "RELAY_NAME", "hookweir"),
-            address("listen", text(root, "listen", env, "RELAY_LISTEN", "")),
+            listen,
             admin.isEmpty() ? null : address("admin_addr", admin),
             address("discovery", text(root, "discovery", env, "RELAY_DISCOVERY", "")),
-            seed(root), sockets(root), known.isObject() ? known : null, settings);
+            seed(root), sockets(root), known.isObject() ? known : null, settings,
+            inherited(env), inherited(env) ? meeting(env, listen) : null);
+    }
+
+    /** A platform that hands on a listening socket says so by its descriptor; the class library inherits 0 only. */
+    private static boolean inherited(Map<String, String> env) throws BadSetting {
+        String descriptor = env.getOrDefault("RELAY_FD", "");
+        if (!descriptor.isEmpty() && !descriptor.equals("0")) {
+            throw new BadSetting("RELAY_FD", "must be 0, the one descriptor that can be inherited, not '" + descriptor + "'");
+        }
+        return !descriptor.isEmpty();
+    }
+
+    /** As short as it can be: the system takes some hundred bytes of it. */
+    private static Path meeting(Map<String, String> env, InetSocketAddress listen) {
+        String folder = env.getOrDefault("TMPDIR", "");
+        Path name = Path.of(folder.isEmpty() ? System.getProperty("java.io.tmpdir") : folder,
+            "hw-" + Integer.toHexString(listen.hashCode())).toAbsolutePath();
+        Path near = Path.of("").toAbsolutePath().relativize(name);
+        return near.toString().length() < name.toString().length() ? near : name;
     }
 
     private static int sockets(JsonNode root) throws BadSetting {
--- a/src/main/java/hookweir/net/Node.java
+++ b/src/main/java/hookweir/net/Node.java
@@ -70,8 +70,7 @@
         }
         // Seeded before any request can be read, as this is posted first.
         loop.post(() -> host.start(config));
-        int port = bound("listen", config.listen(), () -> host.ingress().listen(config.listen()));
-        standing.serves();
+        int port = bound(config.inherited() ? "RELAY_FD" : "listen", config.listen(), () -> host.listen(config));
         return port;
     }
 
@@ -99,6 +98,7 @@
         } finally {
             // Also where an error ended the loop: the shutdown hook must not wait for ever.
             ended.countDown();
+            host.end();
             transport.stop();
         }
     }
--- a/src/main/java/hookweir/net/SocketHost.java
+++ b/src/main/java/hookweir/net/SocketHost.java
@@ -16,6 +16,9 @@
 import hookweir.net.ingress.Ingress;
 import hookweir.net.ingress.IngressConnection;
 import hookweir.net.ingress.IngressRequest;
+import hookweir.net.upgrade.Succession;
+import hookweir.net.upgrade.Wire;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -26,6 +29,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.memory.Buffers;
 
@@ -33,7 +37,7 @@
  * The module's host, on the sockets. Owns the module and every exchange; all of it runs on the {@link Loop}.
  * The module is never entered from inside one of its own calls: what a call leads to is posted.
  */
-public final class SocketHost implements Contract.Host, Ingress.Handler, Discovery.Listener {
+public final class SocketHost implements Contract.Host, Ingress.Handler, Discovery.Listener, Succession.Listener {
     private static final byte[] NOTHING = new byte[0];
     private static final double EGRESS_SHARE = 0.45;
     private static final int OWN_DESCRIPTORS = 64;
@@ -45,6 +49,9 @@
     private static final int MOST_TAKEN = 4096;
     /** SIGKILL comes no sooner than 3.7 s after SIGTERM; what can still be tried elsewhere is let go before. */
     private static final long LET_GO_AFTER_US = 3_500_000;
+    /** A process that follows another opens its door by then, with the list as last held if need be. */
+    private static final long LIST_WAIT_US = 3_000_000;
+    private static final int LEAST_SHARE = 16;
     private static final long EXIT_AFTER_US = 900_000;
     private static final long EXIT_POLL_US = 50_000;
 
@@ -58,6 +65,8 @@
     private final Ingress ingress;
     private final Egress egress;
     private final Discovery discovery;
+    private final Succession succession;
+    private final int sockets;
     private final ListUpdate.Parser listParser;
     private final ExchangeParser exchangeParser;
     private final LoadReport loadReport;
@@ -74,6 +83,10 @@
     });
     private int lastId;
     private boolean draining;
+    /** This process follows one that serves, and waits for the present list. */
+    private boolean waits;
+    /** A later process has taken over the clients. */
+    private boolean retired;
 
     public SocketHost(Config config, Loop loop, Transport transport, Invariants invariants, Standing standing) {
         this.loop = loop;
@@ -81,17 +94,18 @@
         this.invariants = invariants;
         this.standing = standing;
         settings = config.settings().settings;
-        int usable = config.sockets() - OWN_DESCRIPTORS;
-        int links = (int) Math.max(1, usable * EGRESS_SHARE);
+        sockets = config.sockets();
         Dialer dialer = new Dialer(loop, transport);
         probeLimitUs = PROBE_DIAL_LIMITS * config.settings().dialTimeoutUs;
-        ingress = new Ingress(loop, transport, invariants, Math.max(1, usable - links), this);
-        egress = new Egress(loop, dialer, invariants, config.settings().dialTimeoutUs, config.settings().connIdleUs, links);
+        ingress = new Ingress(loop, transport, invariants, LEAST_SHARE, this);
+        egress = new Egress(loop, dialer, invariants, config.settings().dialTimeoutUs, config.settings().connIdleUs, LEAST_SHARE);
         listParser = new ListUpdate.Parser(config.settings().zones, config.settings().kinds, invariants);
         discovery = new Discovery(loop, dialer, config.discovery(), listParser, invariants, this);
         exchangeParser = new ExchangeParser(config.settings().classNames, settings.classes);
         loadReport = new LoadReport(config.settings().reportFields);
         module = new Policy(settings, config.seed(), this);
+        succession = new Succession(loop, invariants, config.meeting(), this);
+        share();
     }
 
     /** Seeds the module with the list as last held; from then on the scheduler is ready. On the loop. */
@@ -101,14 +115,83 @@
             known = new ListUpdate(0, true, List.of());
         }
         discovery.seeded(known.version());
-        listed(new ListUpdate(known.version(), true, known.entries()));
+        told(new ListUpdate(known.version(), true, known.entries()));
         egress.start();
+        if (waits) {
+            // The list as last held may be old, and nothing waits for this process yet: the present one comes first.
+            discovery.fetch();
+            loop.after(LIST_WAIT_US, this::open);
+        } else {
+            succession.serves();
+        }
         loop.after(LOG_EVERY_US, this::report);
     }
 
-    /** Where clients and workers come in. */
-    public Ingress ingress() {
-        return ingress;
+    /**
+     * Takes the clients' address; the port that it got. Where a process of this scheduler serves already, the door is
+     * shut until {@link #open}. Before the loop runs.
+     */
+    public int listen(Config config) throws IOException {
+        int port = ingress.listen(config.listen(), config.inherited());
+        waits = succession.follow();
+        if (waits) {
+            ingress.accepts(false);
+        } else {
+            standing.serves();
+        }
+        return port;
+    }
+
+    private void open() {
+        if (waits) {
+            waits = false;
+            ingress.accepts(true);
+            standing.serves();
+            succession.serves();
+            Log.line("took over");
+        }
+    }
+
+    /** Ends what no connection's end does. */
+    void end() {
+        succession.end();
+    }
+
+    // ---- other processes of this scheduler ----
+
+    @Override
+    public void neighboursChanged() {
+        share();
+        if (succession.succeeded() != retired) {
+            retired = !retired;
+            standing.succeeded(retired);
+            ingress.accepts(!retired);
+            turned();
+        }
+    }
+
+    /** All processes of a scheduler share one limit on descriptors. */
+    private void share() {
+        int usable = Math.max(LEAST_SHARE, sockets / (1 + succession.neighbours()) - OWN_DESCRIPTORS);
+        int links = (int) (usable * EGRESS_SHARE);
+        egress.cap(links);
+        ingress.cap(usable - links);
+    }
+
+    @Override
+    public void passed(byte[] callback, Wire from, Consumer<Boolean> verdict) {
+        Callback told = Callback.parse(callback);
+        if (told != null && ours(told)) {
+            invariants.count("call-backs from a neighbour");
+            called(told);
+            verdict.accept(true);
+        } else {
+            succession.pass(callback, from, verdict);
+        }
+    }
+
+    private boolean ours(Callback told) {
+        return byName.containsKey(told.id()) || taken.contains(told.id());
     }
 
     private void report() {
@@ -120,6 +203,11 @@
 
     @Override
     public void listed(ListUpdate update) {
+        told(update);
+        open();
+    }
+
+    private void told(ListUpdate update) {
         invariants.count("list updates");
         List<Contract.Worker> workers = new ArrayList<>();
         Set<Integer> named = new HashSet<>();
@@ -156,10 +244,16 @@
                 Callback told = Callback.parse(request.body());
                 if (told == null) {
                     invariants.count("ingress bad call-back");
-                }
-                ingress.answer(from, told == null ? 400 : 204, null, NOTHING);
-                if (told != null) {
+                    ingress.answer(from, 400, null, NOTHING);
+                } else if (ours(told)) {
+                    ingress.answer(from, 204, null, NOTHING);
                     called(told);
+                } else {
+                    // Processes that share the socket get each other's: answered once the job's own has it.
+                    succession.pass(request.body(), null, known -> {
+                        invariants.count(known ? "call-backs for a neighbour" : "call-backs for nothing");
+                        ingress.answer(from, 204, null, NOTHING);
+                    });
                 }
             } else {
                 ingress.answer(from, 405, null, NOTHING);
@@ -498,9 +592,9 @@
 
     /** Operators sent clients away or called them back: those connected follow. A planned end is not undone by it. */
     void turned() {
-        boolean away = standing.isQuiesced();
-        invariants.count(away ? "quiesced" : "resumed");
-        ingress.sendAway(away || draining);
+        boolean away = standing.isQuiesced() || draining || retired;
+        invariants.count(away ? "clients sent away" : "clients welcome");
+        ingress.sendAway(away);
     }
 
     /**
--- a/src/main/java/hookweir/net/admin/Standing.java
+++ b/src/main/java/hookweir/net/admin/Standing.java
@@ -8,6 +8,7 @@
     private volatile boolean serving;
     private volatile boolean quiesced;
     private volatile boolean leaving;
+    private volatile boolean succeeded;
 
     /** From now on clients are let in. */
     public void serves() {
@@ -19,6 +20,11 @@
         leaving = true;
     }
 
+    /** A later process of this scheduler takes the clients (true), or is gone again. */
+    public void succeeded(boolean on) {
+        succeeded = on;
+    }
+
     /** Clients are to go elsewhere (true) or may come again. */
     public void quiesce(boolean on) {
         quiesced = on;
@@ -26,12 +32,12 @@
 
     /** This process takes clients: also while they are sent away, as those who come are served. */
     public boolean takesClients() {
-        return serving && !leaving;
+        return serving && !leaving && !succeeded;
     }
 
-    /** New clients are welcome. */
+    /** New clients are welcome to this scheduler, be it to another process of it. */
     public boolean wantsClients() {
-        return takesClients() && !quiesced;
+        return (takesClients() || succeeded) && !quiesced;
     }
 
     /** Operators have sent the clients away. */
--- a/src/main/java/hookweir/net/egress/Egress.java
+++ b/src/main/java/hookweir/net/egress/Egress.java
@@ -25,7 +25,7 @@
     private final Invariants invariants;
     private final long dialLimitUs;
     private final long idleLimitUs;
-    private final int mostLinks;
+    private int mostLinks;
     private final Map<Integer, EgressTarget> targets = new HashMap<>();
     private final Set<Link> open = new HashSet<>();
     /** A running mean: the share of kept links that broke under their next call. */
@@ -107,6 +107,14 @@
         return link;
     }
 
+    /** So many links at most from now on. */
+    public void cap(int most) {
+        mostLinks = most;
+        while (open.size() > mostLinks && evict()) {
+            invariants.count("egress closed at the cap");
+        }
+    }
+
     private boolean evict() {
         for (EgressTarget t : targets.values()) {
             Link oldest = t.idle.pollLast();
--- a/src/main/java/hookweir/net/ingress/Ingress.java
+++ b/src/main/java/hookweir/net/ingress/Ingress.java
@@ -1,12 +1,14 @@
 package hookweir.net.ingress;
 
 import hookweir.net.Invariants;
+import hookweir.net.Log;
 import hookweir.net.Loop;
 import hookweir.net.Transport;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -79,7 +81,8 @@
     private final Transport transport;
     private final Invariants invariants;
     private final Handler handler;
-    private final int mostConnections;
+    /** Read by the selector. */
+    private volatile int mostConnections;
     private final Set<IngressConnection> all = new LinkedHashSet<>();
     private final TCPNIOBindingHandler binding;
     private TCPNIOServerConnection listener;
@@ -103,13 +106,36 @@
             .add(new TransportFilter()).add(new FramingFilter()).add(codec).add(new RequestFilter()).build()).build();
     }
 
-    /** Binds the address; the port that it got. */
-    public int listen(InetSocketAddress at) throws IOException {
-        listener = binding.bind(at);
+    /** Takes the address, or the listening socket inherited as descriptor 0; the port that it got. */
+    public int listen(InetSocketAddress at, boolean inherited) throws IOException {
+        listener = inherited ? inherit() : binding.bind(at);
         loop.post(this::sweep);
         return ((InetSocketAddress) listener.getLocalAddress()).getPort();
     }
 
+    private TCPNIOServerConnection inherit() throws IOException {
+        if (System.inheritedChannel() instanceof ServerSocketChannel) {
+            return binding.bindToInherited();
+        }
+        throw new IOException("descriptor 0 is no listening socket");
+    }
+
+    /**
+     * Lets clients in, or leaves them to whoever else accepts from the same socket. It is not closed for that: the
+     * class library would put the null device in place of standard output and error with an inherited one.
+     */
+    public void accepts(boolean on) {
+        try {
+            if (on) {
+                listener.enableIOEvent(IOEvent.SERVER_ACCEPT);
+            } else {
+                listener.disableIOEvent(IOEvent.SERVER_ACCEPT);
+            }
+        } catch (IOException e) {
+            Log.line("accepting can't be turned " + (on ? "on: " : "off: ") + e.getMessage());
+        }
+    }
+
     /** Runs on the selector: passes on only what is framed beyond doubt, one message at a time. */
     private final class FramingFilter extends BaseFilter {
         @Override
@@ -231,21 +257,37 @@
     private void opened(IngressConnection c) {
         all.add(c);
         if (all.size() > mostConnections) {
-            // Guards the descriptor limit: those with their last word go first, then those that never sent a
-            // request, silent ones before those with half of one; then the longest idle, call-backs' last.
-            invariants.count("ingress closed at the cap");
-            IngressConnection victim = firstIdle(o -> o.closing)
-                .or(() -> firstIdle(o -> !o.proven && o != c && o.insideSinceUs == 0))
-                .or(() -> firstIdle(o -> !o.proven && o != c))
-                .or(() -> firstIdle(o -> o.proven && !o.carriesCallbacks && o.insideSinceUs == 0))
-                .or(() -> firstIdle(o -> o.proven && o.insideSinceUs == 0))
-                .orElse(c);
-            all.remove(victim);
-            victim.closing = true;
-            victim.connection.closeSilently();
+            evict(victim(c).orElse(c));
+        }
+    }
+
+    /** So many connections at most from now on; those over it go as far as that harms nobody. */
+    public void cap(int most) {
+        mostConnections = most;
+        for (var victim = victim(null); all.size() > most && victim.isPresent(); victim = victim(null)) {
+            evict(victim.get());
         }
     }
 
+    /**
+     * Guards the descriptor limit: those with their last word go first, then those that never sent a request, silent
+     * ones before those with half of one; then the longest idle, call-backs' last.
+     */
+    private Optional<IngressConnection> victim(IngressConnection newest) {
+        return firstIdle(o -> o.closing)
+            .or(() -> firstIdle(o -> !o.proven && o != newest && o.insideSinceUs == 0))
+            .or(() -> firstIdle(o -> !o.proven && o != newest))
+            .or(() -> firstIdle(o -> o.proven && !o.carriesCallbacks && o.insideSinceUs == 0))
+            .or(() -> firstIdle(o -> o.proven && o.insideSinceUs == 0));
+    }
+
+    private void evict(IngressConnection victim) {
+        invariants.count("ingress closed at the cap");
+        all.remove(victim);
+        victim.closing = true;
+        victim.connection.closeSilently();
+    }
+
     private Optional<IngressConnection> firstIdle(Predicate<IngressConnection> among) {
         return all.stream().filter(o -> o.idle() && among.test(o)).findFirst();
     }
--- a/src/test/java/hookweir/net/TestNode.java
+++ b/src/test/java/hookweir/net/TestNode.java
@@ -35,6 +35,11 @@
     }
 
     TestNode(String semantics, long deadlineUs, boolean probes) throws IOException {
+        this(semantics, deadlineUs, probes, null);
+    }
+
+    /** With a name by which it meets other processes of its scheduler. */
+    TestNode(String semantics, long deadlineUs, boolean probes, Path meeting) throws IOException {
         this.probes = probes;
         this.semantics = semantics;
         this.deadlineUs = deadlineUs;
@@ -44,7 +49,8 @@
         Files.writeString(file, config("127.0.0.1:" + list.getLocalPort()));
         Config config;
         try {
-            config = ConfigReader.fromFile(file, Map.of());
+            Config c = ConfigReader.fromFile(file, Map.of());
+            config = new Config(c.name(), c.listen(), c.admin(), c.discovery(), c.seed(), c.sockets(), c.known(), c.settings(), false, meeting);
         } catch (BadSetting e) {
             throw new IllegalStateException(e);
         }
--- /dev/null
+++ b/src/test/java/hookweir/net/UpgradeTest.java
@@ -0,0 +1,168 @@
+package hookweir.net;
+
+import static hookweir.net.TestNode.hear;
+import static hookweir.net.TestNode.job;
+import static hookweir.net.TestNode.say;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Two processes of one scheduler; here they are two nodes that meet by one name, each on a port of its own. */
+@Timeout(60)
+class UpgradeTest {
+    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+    private static final String HEALTHZ = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
+
+    @TempDir
+    Path folder;
+
+    private TestNode node() throws IOException {
+        return new TestNode("read_like", 20_000_000, false, folder.resolve("hw"));
+    }
+
+    /** Waits until a started node can be found by its name, which the loop takes. */
+    private static void settle(TestNode n) throws Exception {
+        n.ask(HEALTHZ);
+    }
+
+    private static void tellList(TestNode n) throws IOException {
+        try (Socket d = n.list.accept()) {
+            assertTrue(hear(d).startsWith("GET /v1/servers HTTP/1.1\r\n"));
+            String list = ("{'version':8,'full':true,'servers':[" + n.entry("SERVING") + "]}").replace('\'', '"');
+            say(d, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+        }
+    }
+
+    /** Either process may get the other's call-backs; the old one lets no more clients in, until the new one is gone. */
+    @Test
+    void callBacksFindTheirProcessAndTheDoorIsHandedOver() throws Exception {
+        try (TestNode old = node(); Socket client = old.connect(); Socket resting = old.connect()) {
+            say(resting, HEALTHZ);
+            hear(resting);
+            say(client, job("u1"));
+            try (Socket w = old.worker.accept()) {
+                hear(w);
+                say(w, TAKEN);
+                try (TestNode young = node()) {
+                    assertTrue(young.call("GET", "health").startsWith("HTTP/1.1 503")); // not before it has the list
+                    assertTrue(old.call("GET", "health").startsWith("HTTP/1.1 200"));
+                    tellList(young);
+                    old.awaitCount("clients sent away", 1);
+                    assertEquals(-1, resting.getInputStream().read());
+                    assertTrue(young.call("GET", "health").startsWith("HTTP/1.1 200"));
+                    assertTrue(old.call("GET", "health").startsWith("HTTP/1.1 503"));
+                    assertTrue(young.tell("nobodys", "s-01", "done").startsWith("HTTP/1.1 204"));
+                    assertTrue(young.tell("u1", "s-01", "done").startsWith("HTTP/1.1 204"));
+                    String answer = hear(client);
+                    assertTrue(answer.startsWith("HTTP/1.1 200") && answer.contains("Connection: close"), answer);
+                    assertEquals(1, young.node.invariants().counted("call-backs for a neighbour"));
+                    assertEquals(1, young.node.invariants().counted("call-backs for nothing"));
+                }
+                old.awaitCount("clients welcome", 1);
+                assertTrue(old.ask(HEALTHZ).startsWith("HTTP/1.1 200"));
+                try (TestNode third = node()) {
+                    tellList(third); // it found the old one by the name, which that took back
+                    old.awaitCount("clients sent away", 2);
+                }
+            }
+        }
+    }
+
+    /** A name left by a process that was killed is taken over. */
+    @Test
+    void leftOverNameIsTaken() throws Exception {
+        try (ServerSocketChannel dead = ServerSocketChannel.open(StandardProtocolFamily.UNIX)) {
+            dead.bind(UnixDomainSocketAddress.of(folder.resolve("hw")));
+        }
+        try (TestNode n = node()) {
+            settle(n);
+            assertTrue(n.call("GET", "health").startsWith("HTTP/1.1 200"));
+            try (TestNode young = node()) {
+                tellList(young);
+                n.awaitCount("clients sent away", 1);
+            }
+        }
+    }
+
+    /** A neighbour that hangs holds up a call-back for a moment, and one that talks nonsense is dropped. */
+    @Test
+    void silentAndBrokenNeighboursAreSurvived() throws Exception {
+        try (TestNode n = node()) {
+            settle(n);
+            UnixDomainSocketAddress name = UnixDomainSocketAddress.of(folder.resolve("hw"));
+            try (SocketChannel silent = SocketChannel.open(name)) {
+                silent.write(ByteBuffer.wrap(new byte[] {0, 0}));
+                assertTrue(n.tell("nobodys", "s-01", "done").startsWith("HTTP/1.1 204"));
+            }
+            Random random = new Random(7);
+            for (int i = 0; i < 20; i++) {
+                try (SocketChannel noise = SocketChannel.open(name)) {
+                    byte[] garbage = new byte[1 + random.nextInt(40)];
+                    random.nextBytes(garbage);
+                    noise.write(ByteBuffer.wrap(garbage));
+                }
+            }
+            assertTrue(n.tell("nobodys", "s-01", "done").startsWith("HTTP/1.1 204"));
+            assertTrue(n.ask(HEALTHZ).startsWith("HTTP/1.1 200"));
+        }
+    }
+
+    /** The platform's socket outlives a process that inherits it, and so does what that one logs. */
+    @Test
+    void inheritedSocketIsHandedOn() throws Exception {
+        assumeTrue(Files.isExecutable(Path.of("/usr/bin/perl")), "perl, to hand on a socket");
+        try (ServerSocket list = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            Path config = folder.resolve("config.json");
+            Files.writeString(config, ("{'listen':'127.0.0.1:1','discovery':'127.0.0.1:" + list.getLocalPort() + "','limits':{'sockets':128},"
+                + "'settings':{'classes':[{'name':'a','semantics':'read_like'}],'discovery':'ask'}}").replace('\'', '"'));
+            ProcessBuilder b = new ProcessBuilder("/usr/bin/perl", "-MSocket", "-MPOSIX=dup2", "-e",
+                "socket(S,PF_INET,SOCK_STREAM,0);bind(S,sockaddr_in(0,INADDR_LOOPBACK));listen(S,9);$p=(sockaddr_in(getsockname(S)))[0];"
+                    + "dup2(fileno(S),0);$|=1;for(1..2){if(!($k=fork)){exec @ARGV}print \"$p $k\\n\";waitpid($k,0)}",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1", "-cp",
+                System.getProperty("java.class.path"), "hookweir.Main", "serve");
+            b.environment().putAll(java.util.Map.of("RELAY_CONFIG", config.toString(), "RELAY_FD", "0", "TMPDIR", folder.toString()));
+            Process both = b.redirectErrorStream(true).start();
+            try (BufferedReader out = new BufferedReader(new InputStreamReader(both.getInputStream()))) {
+                String[] portAndProcess = out.readLine().split(" ");
+                int port = Integer.parseInt(portAndProcess[0]);
+                assertTrue(askAt(port).startsWith("HTTP/1.1 200"));
+                ProcessHandle.of(Long.parseLong(portAndProcess[1])).orElseThrow().destroy();
+                String line = out.readLine();
+                while (!line.contains("leaving")) { // it still logs to the end
+                    line = out.readLine();
+                }
+                portAndProcess = out.readLine().split(" ");
+                assertTrue(askAt(port).startsWith("HTTP/1.1 200"));
+                ProcessHandle.of(Long.parseLong(portAndProcess[1])).orElseThrow().destroy();
+            } finally {
+                both.descendants().forEach(ProcessHandle::destroy);
+            }
+            both.waitFor();
+        }
+    }
+
+    private static String askAt(int port) throws IOException {
+        try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            say(s, HEALTHZ);
+            return hear(s);
+        }
+    }
+}
