Add the operators' figures at /admin/stats

Design: net.admin.Figures owns every name and counter; counted in SocketHost.close (by status), in onGone (no end, only concurrent falls), and in Hop.written. targets_disabled is the module's own view (Policy.avoided), published every 0.2 s. Rejected: reading Invariants' strings, as these name what is survived, have no classes and count from their first use; and asking the module at each fetch, as that answer would wait for the loop.

--- a/src/main/java/hookweir/Contract.java
+++ b/src/main/java/hookweir/Contract.java
@@ -270,6 +270,11 @@
         default void leaving(long nowUs, long byUs) {
         }
 
+        /** How many listed workers it avoids at present. Any time after the first list; changes nothing. */
+        default int avoided(long nowUs) {
+            return 0;
+        }
+
         /** Another dispatcher told this one something. */
         default void peer(long nowUs, int sender, byte[] body) {
         }
--- a/src/main/java/hookweir/Policy.java
+++ b/src/main/java/hookweir/Policy.java
@@ -144,6 +144,13 @@
         if (weight.length < workers.size()) weight = new double[2 * workers.size()];
     }
 
+    /** Draining ones, and those set aside for failures. */
+    @Override public int avoided(long now) {
+        int n = 0;
+        for (W w : workers) n += w.ready && now >= w.asideUntilUs ? 0 : 1;
+        return n;
+    }
+
     private W added(Contract.Worker e) {
         W w = new W();
         w.e = e;
--- a/src/main/java/hookweir/net/Hop.java
+++ b/src/main/java/hookweir/net/Hop.java
@@ -102,6 +102,7 @@
 
     @Override
     public void written(Link l) {
+        host.dispatched();
         if (stage == Stage.SENDING) {
             stage = Stage.SENT;
             if (host.repeatable(exchange)) {
--- a/src/main/java/hookweir/net/Node.java
+++ b/src/main/java/hookweir/net/Node.java
@@ -4,6 +4,7 @@
 import hookweir.config.Config;
 import hookweir.config.ConfigReader;
 import hookweir.net.admin.AdminListener;
+import hookweir.net.admin.Figures;
 import hookweir.net.admin.Standing;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -17,13 +18,14 @@
     private final Loop loop = new Loop(invariants);
     private final Transport transport = new Transport(invariants);
     private final Standing standing = new Standing();
+    private final Figures figures = new Figures();
     private final SocketHost host;
     private int adminPort;
     private final CountDownLatch ended = new CountDownLatch(1);
 
     public Node(Config config) {
         this.config = config;
-        host = new SocketHost(config, loop, transport, invariants, standing);
+        host = new SocketHost(config, loop, transport, invariants, standing, figures);
     }
 
     /**
@@ -36,6 +38,7 @@
             loop.post(() -> host.moveDiscovery(again.discovery()));
         } catch (BadSetting e) {
             invariants.count("reloads refused");
+            figures.reloaded(false);
             Log.line("the configuration stays as it was: " + e.getMessage());
         }
     }
@@ -65,7 +68,7 @@
     public int start() throws IOException {
         transport.start();
         if (config.admin() != null) {
-            adminPort = bound("admin_addr", config.admin(), () -> new AdminListener(loop, transport, invariants, standing,
+            adminPort = bound("admin_addr", config.admin(), () -> new AdminListener(loop, transport, invariants, standing, figures,
                 () -> loop.post(host::turned)).listen(config.admin()));
         }
         // Seeded before any request can be read, as this is posted first.
--- a/src/main/java/hookweir/net/SocketHost.java
+++ b/src/main/java/hookweir/net/SocketHost.java
@@ -5,6 +5,7 @@
 import hookweir.Contract.Report;
 import hookweir.Policy;
 import hookweir.config.Config;
+import hookweir.net.admin.Figures;
 import hookweir.net.admin.Standing;
 import hookweir.net.discovery.Discovery;
 import hookweir.net.discovery.ListUpdate;
@@ -46,6 +47,7 @@
     /** No share of breaks is low enough: a link of its own. */
     private static final double NO_KEPT = -1;
     private static final long LOG_EVERY_US = 10_000_000;
+    private static final long PUBLISH_EVERY_US = 200_000;
     private static final int MOST_TAKEN = 4096;
     /** SIGKILL comes no sooner than 3.7 s after SIGTERM; what can still be tried elsewhere is let go before. */
     private static final long LET_GO_AFTER_US = 3_500_000;
@@ -59,7 +61,10 @@
     private final Transport transport;
     private final Invariants invariants;
     private final Standing standing;
+    private final Figures figures;
     private final Contract.Settings settings;
+    /** By number. */
+    private final List<String> classNames;
     private final long probeLimitUs;
     private final Contract.Dispatcher module;
     private final Ingress ingress;
@@ -88,12 +93,16 @@
     /** A later process has taken over the clients. */
     private boolean retired;
 
-    public SocketHost(Config config, Loop loop, Transport transport, Invariants invariants, Standing standing) {
+    public SocketHost(Config config, Loop loop, Transport transport, Invariants invariants, Standing standing,
+            Figures figures) {
         this.loop = loop;
         this.transport = transport;
         this.invariants = invariants;
         this.standing = standing;
+        this.figures = figures;
         settings = config.settings().settings;
+        classNames = config.settings().classNames;
+        figures.classes(classNames);
         sockets = config.sockets();
         Dialer dialer = new Dialer(loop, transport);
         probeLimitUs = PROBE_DIAL_LIMITS * config.settings().dialTimeoutUs;
@@ -125,6 +134,13 @@
             succession.serves();
         }
         loop.after(LOG_EVERY_US, this::report);
+        publish();
+    }
+
+    /** The module is asked here, so that no operator waits for the loop. */
+    private void publish() {
+        figures.targets(egress.targets(), module.avoided(loop.nowUs()));
+        loop.after(PUBLISH_EVERY_US, this::publish);
     }
 
     /**
@@ -230,6 +246,7 @@
     /** Another address serves the list from now on; what was told of it so far stands until that one speaks. */
     void moveDiscovery(InetSocketAddress to) {
         invariants.count("reloads");
+        figures.reloaded(true);
         Log.line("discovery is now " + to);
         discovery.move(to);
     }
@@ -291,8 +308,11 @@
         exchanges.put(r.id, x);
         byName.put(request.headers().id(), x);
         invariants.count("exchanges");
+        figures.taken();
         ingress.onGone(from, () -> {
             x.closed = true;
+            figures.abandoned();
+            invariants.count("clients gone");
             module.withdrawn(loop.nowUs(), r.id);
             settle(x);
         });
@@ -306,6 +326,7 @@
         }
         x.closed = true;
         invariants.count("answers " + status);
+        figures.answered(classNames.get(x.request.requestClass), status);
         ingress.answer(x.client, status, retryAfter, body);
         return true;
     }
@@ -361,6 +382,11 @@
         });
     }
 
+    /** A hop's last byte is written. */
+    void dispatched() {
+        figures.dispatched();
+    }
+
     /** A report from an answer's header, or null. */
     Report report(String header) {
         return loadReport.ofPairs(header);
--- a/src/main/java/hookweir/net/admin/AdminListener.java
+++ b/src/main/java/hookweir/net/admin/AdminListener.java
@@ -56,16 +56,17 @@
     private final Deque<Connection<?>> open = new ArrayDeque<>();
 
     /**
-     * Answers for this standing.
+     * Answers for this standing and with these figures.
      *
      * @param turned runs, on any thread, after the clients were sent away or called back
      */
-    public AdminListener(Loop loop, Transport transport, Invariants invariants, Standing standing, Runnable turned) {
+    public AdminListener(Loop loop, Transport transport, Invariants invariants, Standing standing, Figures figures, Runnable turned) {
         this.loop = loop;
         this.transport = transport;
         this.invariants = invariants;
         calls = Map.of(
             "/admin/health", new Call("GET", () -> standing.takesClients() ? new Answer(200, "serving\n") : new Answer(503, "not serving\n")),
+            "/admin/stats", new Call("GET", () -> new Answer(200, figures.text())),
             "/admin/quiesce", new Call("PUT", () -> turn(standing, true, turned)),
             "/admin/resume", new Call("PUT", () -> turn(standing, false, turned)));
     }
--- a/src/main/java/hookweir/net/egress/Egress.java
+++ b/src/main/java/hookweir/net/egress/Egress.java
@@ -185,6 +185,11 @@
         loop.after(SWEEP_US, this::sweep);
     }
 
+    /** Targets in the list. */
+    public int targets() {
+        return targets.size();
+    }
+
     /** Open links, dials included. */
     public int size() {
         return open.size();
--- a/src/test/java/hookweir/PolicyRulesTest.java
+++ b/src/test/java/hookweir/PolicyRulesTest.java
@@ -168,6 +168,7 @@
         int first = h.sentTo.get(0);
         h.ends(1, 0, first, Outcome.CONNECT_FAILED, false);
         assertFalse(h.sentTo.get(1) == first);
+        assertEquals(1, h.policy.avoided(h.now));
         h.sentTo.clear();
         for (int i = 2; i < 40; i++) {
             h.take(i, s);
@@ -179,6 +180,11 @@
             h.take(i, s);
         }
         assertTrue(h.sentTo.contains(first), "and taken back");
+        assertEquals(0, h.policy.avoided(h.now));
+        Contract.Worker leaver = worker(2);
+        leaver.state = Contract.State.DRAINING;
+        h.change(leaver);
+        assertEquals(1, h.policy.avoided(h.now));
     }
 
     @Test
--- a/src/test/java/hookweir/net/OperatorsTest.java
+++ b/src/test/java/hookweir/net/OperatorsTest.java
@@ -113,6 +113,45 @@
         }
     }
 
+    /** Each figure is counted where what it counts happens; a client that left counts as no end. */
+    @Test
+    void figuresTellWhatPeersSaw() throws Exception {
+        try (TestNode n = new TestNode("non_idempotent"); Socket client = n.connect(); Socket leaver = n.connect()) {
+            String none = n.call("GET", "stats");
+            for (String zero : List.of("success_total{type=\"render\"}", "overload_total{type=\"render\"}", "error_total{type=\"render\"}",
+                    "dispatches_total", "concurrent", "reload_success_total", "reload_failure_total")) {
+                assertEquals(0, figure(none, zero));
+            }
+            say(client, job("s1"));
+            try (Socket w = n.worker.accept()) {
+                hear(w);
+                say(w, TAKEN);
+                assertEquals(1, figure(n.call("GET", "stats"), "concurrent"));
+                n.tell("s1", "s-01", "done");
+                assertTrue(hear(client).startsWith("HTTP/1.1 200"));
+                say(client, job("s2"));
+                hear(w);
+            }
+            assertTrue(hear(client).startsWith("HTTP/1.1 500"));
+            say(leaver, job("s3"));
+            n.awaitCount("exchanges", 3);
+            leaver.close();
+            n.awaitCount("clients gone", 1);
+            String all = n.call("GET", "stats");
+            assertEquals(1, figure(all, "success_total{type=\"render\"}"));
+            assertEquals(0, figure(all, "overload_total{type=\"render\"}"));
+            assertEquals(1, figure(all, "error_total{type=\"render\"}"));
+            assertEquals(0, figure(all, "concurrent"));
+            assertTrue(figure(all, "dispatches_total") >= 2, all); // the third may have left, too
+            assertEquals(1, figure(all, "targets"));
+        }
+    }
+
+    private static long figure(String text, String name) {
+        String line = text.lines().filter(l -> l.startsWith("svc_" + name + " ")).findFirst().orElseThrow();
+        return Long.parseLong(line.substring(line.lastIndexOf(' ') + 1));
+    }
+
     /** What operators call back after SIGTERM stays away. */
     @Test
     void resumeDoesNotUndoAPlannedEnd() throws Exception {
