Take over new settings at SIGHUP, whole or not at all

Design: ConfigReader.again compares the file with the running one key by key, so a lost key is a fault, not a default; SettingsMapping.continues gives changed classes new numbers after the old ones; Policy.retune, ExchangeParser, Egress, LoadReport and Figures follow in one task on the loop. Rejected: a new Policy for the new settings, as it would forget the workers' load and split open jobs between two modules; renumbering open jobs, as their class may be gone.

Lines at fault: SocketHost.moveDiscovery; SettingsMapping's getOrDefault at a reload. A Policy that is told to stop checks keeps its timers and sends none. Ruled out: the file read too early (the log shows each reload within 0.1 s).

--- a/src/main/java/hookweir/Contract.java
+++ b/src/main/java/hookweir/Contract.java
@@ -17,7 +17,8 @@
  * which they happened. Attempts of a request are numbered 0, 1, 2 ... in the order of {@link Host#send}.
  * For each attempt there is exactly one {@link Dispatcher#outcome}.
  *
- * <p><b>Ownership.</b> {@link Settings}, requests and workers must not change once handed over: the
+ * <p><b>Ownership.</b> {@link Settings}, requests and workers must not change once handed over (new settings
+ * come as an object of their own, where a class that changed has a new number): the
  * dispatcher keeps them. The list of workers, a report and a message body belong to the host again on return.
  * Bodies given to {@link Host#tell} are the host's.
  */
@@ -270,6 +271,10 @@
         default void leaving(long nowUs, long byUs) {
         }
 
+        /** Other settings hold from now on; requests under way keep the class that they came with. */
+        default void retune(long nowUs, Settings settings) {
+        }
+
         /** How many listed workers it avoids at present. Any time after the first list; changes nothing. */
         default int avoided(long nowUs) {
             return 0;
--- a/src/main/java/hookweir/Policy.java
+++ b/src/main/java/hookweir/Policy.java
@@ -73,14 +73,14 @@
         boolean[] back;
     }
 
-    private final Contract.Settings set;
+    private Contract.Settings set;
     private final Contract.Host host;
     private final Map<Integer, W> byId = new HashMap<>();
     private final Map<Integer, Job> jobs = new HashMap<>();
     private final List<W> workers = new ArrayList<>();
     private final List<Job> lookers = new ArrayList<>();
-    private final boolean live, checksOn;
-    private final double checksPerRequest;
+    private boolean live, checksOn;
+    private double checksPerRequest;
     private final int[] rankAt = new int[RANKS];
     private final long[] rankHash = new long[RANKS];
     private int ranked, watchFailures;
@@ -92,16 +92,21 @@
 
     /** A dispatcher at its start; the seed makes its draws differ from those of others. */
     public Policy(Contract.Settings settings, long seed, Contract.Host host) {
-        this.set = settings;
         this.host = host;
         random = seed;
         for (RequestClass c : settings.classes) serviceUs = Math.min(serviceUs, c.aimUs);
+        crossing = settings.priceCrossZone > 0 ? ABROAD : 1;
+        lookUs = staleUs = 4.0 * settings.tickUs;
+        retune(0, settings);
+    }
+
+    /** What was learnt stays; all that settings decide follows. */
+    @Override public void retune(long now, Contract.Settings settings) {
+        set = settings;
         checksOn = settings.probes && settings.reports != Contract.ReportsBy.NEVER;
         double checks = CHECK_POINTS / Math.max(settings.priceProbe, 1e-9);
         checksPerRequest = Math.max(1, Math.min(MOST_LOOKS, checks));
-        crossing = settings.priceCrossZone > 0 ? ABROAD : 1;
         live = settings.sizes == Contract.SizeFigure.LIVE;
-        lookUs = staleUs = 4.0 * settings.tickUs;
     }
 
     // ---- the list of workers ----
@@ -157,7 +162,7 @@
         w.hash = mix(e.id);
         byId.put(e.id, w);
         workers.add(w);
-        if (checksOn) host.timer(token(CHECK, e.id), (long) (uniform() * serviceUs));
+        host.timer(token(CHECK, e.id), (long) (uniform() * serviceUs));
         return w;
     }
 
@@ -298,7 +303,7 @@
     /** Rule 2, in one place: may this request go out once more? */
     private boolean maySend(Job j, long now) {
         boolean closing = now >= j.firstRunUs + j.in.windowUs * 15 / 16;
-        return j.attempts < set.maxAttempts && now < j.r.giveUpAtUs - set.tickUs
+        return j.attempts < Math.min(set.maxAttempts, j.to.length) && now < j.r.giveUpAtUs - set.tickUs
             && (j.out == 0 || set.secondCopies)
             && (j.firstRun == null || j.in.effect == Effect.SAFE || j.in.effect == Effect.KEYED && !closing);
     }
@@ -621,7 +626,7 @@
         double gap = 1e6 / (fill * alpha) * (0.75 + uniform() / 2);
         double left = w.heardUs == 0 ? 0 : w.heardUs + gap - now;
         if (left <= set.tickUs && w.ready) {
-            check(w);
+            if (checksOn) check(w);
             left = gap;
         }
         host.timer(token(CHECK, w.e.id), (long) Math.max(left, set.tickUs));
--- a/src/main/java/hookweir/config/Config.java
+++ b/src/main/java/hookweir/config/Config.java
@@ -17,7 +17,8 @@
  * @param settings the deployment's settings
  * @param inherited the clients' listening socket is the platform's, handed on as descriptor 0
  * @param meeting the name by which processes that share the socket find each other, or null
+ * @param source all of it as it was read
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery, long seed,
-    int sockets, JsonNode known, SettingsMapping settings, boolean inherited, Path meeting) {
+    int sockets, JsonNode known, SettingsMapping settings, boolean inherited, Path meeting, JsonNode source) {
 }
--- a/src/main/java/hookweir/config/ConfigReader.java
+++ b/src/main/java/hookweir/config/ConfigReader.java
@@ -1,12 +1,16 @@
 package hookweir.config;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /** The one place where configuration is read, checked and given defaults. */
@@ -28,19 +32,51 @@
 
     /**
      * Reads the file anew for a scheduler that runs: what was told by variable at the start stands, but for
-     * discovery, as the file may name another by now.
+     * discovery, as the file may name another by now. A key that the running configuration has and this one lacks is
+     * a fault, as a default in its place would change what nobody asked to change.
      */
-    public static Config again(Map<String, String> env) throws BadSetting {
+    public static Config again(Map<String, String> env, Config running) throws BadSetting {
         Map<String, String> told = new HashMap<>(env);
         told.remove("RELAY_DISCOVERY");
-        return fromEnvironment(told);
+        Config next = fromEnvironment(told);
+        compare("", running.source(), next.source());
+        next.settings().continues(running.settings());
+        return next;
+    }
+
+    private static void compare(String path, JsonNode running, JsonNode next) throws BadSetting {
+        String dot = path.isEmpty() ? "" : path + ".";
+        if (running.isNumber() && !next.isNumber() || running.isObject() && !next.isObject() || running.isArray() && !next.isArray()) {
+            throw new BadSetting(path, "is not of the kind that the running configuration has");
+        }
+        for (Map.Entry<String, JsonNode> e : running.properties()) {
+            if (!next.hasNonNull(e.getKey()) && !e.getValue().isNull()) {
+                throw new BadSetting(dot + e.getKey(), "is missing, and the running configuration has it");
+            }
+            if (!path.isEmpty() || !e.getKey().equals("known")) { // workers come and go
+                compare(dot + e.getKey(), e.getValue(), next.path(e.getKey()));
+            }
+        }
+        if (running.isArray() && !running.isEmpty() && running.get(0).isObject()) {
+            ObjectNode common = running.get(0).deepCopy(); // what each has of a list whose items may come and go
+            running.forEach(item -> common.retain(names(item)));
+            for (int i = 0; i < next.size(); i++) {
+                compare(dot + i, common, next.get(i));
+            }
+        }
+    }
+
+    private static List<String> names(JsonNode object) {
+        List<String> names = new ArrayList<>();
+        object.fieldNames().forEachRemaining(names::add);
+        return names;
     }
 
     /** Reads one file. */
     public static Config fromFile(Path file, Map<String, String> env) throws BadSetting {
         JsonNode root;
         try {
-            root = new ObjectMapper().readTree(Files.readAllBytes(file));
+            root = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).readTree(Files.readAllBytes(file));
         } catch (IOException e) {
             throw new BadSetting("RELAY_CONFIG", "names a file that can't be read as JSON: " + e.getMessage());
         }
@@ -62,6 +98,14 @@
         if (settings.settings.classes.isEmpty()) {
             throw new BadSetting("settings.classes", "must list at least one class");
         }
+        for (int i = 0; i < settings.settings.classes.size(); i++) {
+            if (settings.settings.classes.get(i).deadlineUs <= 0) {
+                throw new BadSetting("classes." + i + ".deadline_us", "must be above 0");
+            }
+        }
+        if (settings.settings.maxAttempts <= 0) {
+            throw new BadSetting("limits.max_attempts", "must be above 0");
+        }
         if (settings.dialTimeoutUs <= 0) {
             throw new BadSetting("limits.dial_timeout_us", "must be above 0");
         }
@@ -79,7 +123,7 @@
             admin.isEmpty() ? null : address("admin_addr", admin),
             address("discovery", text(root, "discovery", env, "RELAY_DISCOVERY", "")),
             seed(root), sockets(root), known.isObject() ? known : null, settings,
-            inherited(env), inherited(env) ? meeting(env, listen) : null);
+            inherited(env), inherited(env) ? meeting(env, listen) : null, root);
     }
 
     /** A platform that hands on a listening socket says so by its descriptor; the class library inherits 0 only. */
--- a/src/main/java/hookweir/config/SettingsMapping.java
+++ b/src/main/java/hookweir/config/SettingsMapping.java
@@ -7,6 +7,8 @@
 import hookweir.Contract.Settings;
 import hookweir.Contract.SizeFigure;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -21,8 +23,10 @@
     public final Settings settings = new Settings();
     /** Names of a load report's figures, in their order. */
     public String[] reportFields = new String[0];
-    /** Class, zone and kind names; a name's place is its number. */
+    /** Class, zone and kind names; a name's place is its number. Classes that are gone keep theirs. */
     public final List<String> classNames = new ArrayList<>();
+    /** The numbers of the classes that there are now. */
+    public final Map<String, Integer> classNumbers = new LinkedHashMap<>();
     public String[] zones = new String[0];
     public String[] kinds = new String[0];
     /** A connection not up by then counts as failed. */
@@ -49,6 +53,7 @@
         for (int i = 0; i < n; i++) {
             s.classes.add(readClass("classes." + i + ".", i));
             classNames.add(word("classes." + i + ".name", ""));
+            classNumbers.put(classNames.get(i), i);
         }
         n = count("orgs.count");
         s.tenantRate = new double[n];
@@ -101,6 +106,41 @@
         connIdleUs = whole("limits.conn_idle_us", 15_000_000);
     }
 
+    /**
+     * Numbers the classes for a scheduler that runs with other settings: jobs under way keep the number that they came
+     * with, so a class that changed gets a new one, and one that is gone leaves its own unused.
+     */
+    void continues(SettingsMapping running) throws BadSetting {
+        if (!Arrays.equals(zones, running.zones) || !Arrays.equals(kinds, running.kinds)) {
+            throw new BadSetting(Arrays.equals(zones, running.zones) ? "kinds" : "zones", "can't change while serving: the list is numbered by it");
+        }
+        List<RequestClass> classes = new ArrayList<>(running.settings.classes);
+        List<String> names = new ArrayList<>(running.classNames);
+        for (Map.Entry<String, Integer> e : classNumbers.entrySet()) {
+            RequestClass c = settings.classes.get(e.getValue());
+            int number = classes.size() - 1;
+            while (number >= 0 && !(names.get(number).equals(e.getKey()) && alike(classes.get(number), c))) {
+                number--;
+            }
+            if (number < 0) {
+                number = classes.size();
+                classes.add(c);
+                names.add(e.getKey());
+            }
+            e.setValue(number);
+        }
+        settings.classes.clear();
+        settings.classes.addAll(classes);
+        classNames.clear();
+        classNames.addAll(names);
+    }
+
+    private static boolean alike(RequestClass a, RequestClass b) {
+        return a.aimUs == b.aimUs && a.stretch == b.stretch && a.deadlineUs == b.deadlineUs && a.worth == b.worth
+            && a.lateWorth == b.lateWorth && a.effect == b.effect && a.scope == b.scope && a.windowUs == b.windowUs
+            && a.kind == b.kind && a.priority == b.priority;
+    }
+
     private RequestClass readClass(String path, int index) throws BadSetting {
         RequestClass c = new RequestClass();
         c.aimUs = whole(path + "aim_us", c.aimUs);
--- a/src/main/java/hookweir/net/Node.java
+++ b/src/main/java/hookweir/net/Node.java
@@ -13,7 +13,8 @@
 
 /** One scheduler: puts the transport, the loop and the host together, and ends them in order. */
 public final class Node {
-    private final Config config;
+    /** The last one taken over. Guarded by this once serving. */
+    private Config config;
     private final Invariants invariants = new Invariants();
     private final Loop loop = new Loop(invariants);
     private final Transport transport = new Transport(invariants);
@@ -29,13 +30,14 @@
     }
 
     /**
-     * Reads the configuration anew and goes over to its discovery; a faulty one is logged and the running one
+     * Reads the configuration anew and goes over to its settings and discovery; a faulty one is logged and the running one
      * kept. Any thread but the loop: the file is read here. One at a time, so that the last read wins.
      */
     public synchronized void reload(Map<String, String> env) {
         try {
-            Config again = ConfigReader.again(env);
-            loop.post(() -> host.moveDiscovery(again.discovery()));
+            Config again = ConfigReader.again(env, config);
+            config = again;
+            loop.post(() -> host.reload(again));
         } catch (BadSetting e) {
             invariants.count("reloads refused");
             figures.reloaded(false);
--- a/src/main/java/hookweir/net/SocketHost.java
+++ b/src/main/java/hookweir/net/SocketHost.java
@@ -5,6 +5,7 @@
 import hookweir.Contract.Report;
 import hookweir.Policy;
 import hookweir.config.Config;
+import hookweir.config.SettingsMapping;
 import hookweir.net.admin.Figures;
 import hookweir.net.admin.Standing;
 import hookweir.net.discovery.Discovery;
@@ -20,7 +21,6 @@
 import hookweir.net.upgrade.Succession;
 import hookweir.net.upgrade.Wire;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -62,10 +62,10 @@
     private final Invariants invariants;
     private final Standing standing;
     private final Figures figures;
-    private final Contract.Settings settings;
+    private Contract.Settings settings;
     /** By number. */
-    private final List<String> classNames;
-    private final long probeLimitUs;
+    private List<String> classNames;
+    private long probeLimitUs;
     private final Contract.Dispatcher module;
     private final Ingress ingress;
     private final Egress egress;
@@ -73,8 +73,8 @@
     private final Succession succession;
     private final int sockets;
     private final ListUpdate.Parser listParser;
-    private final ExchangeParser exchangeParser;
-    private final LoadReport loadReport;
+    private ExchangeParser exchangeParser;
+    private LoadReport loadReport;
     private final Map<Integer, Exchange> exchanges = new HashMap<>();
     private final Map<String, Exchange> byName = new HashMap<>();
     /** Ids of the last exchanges, over or not. */
@@ -100,18 +100,13 @@
         this.invariants = invariants;
         this.standing = standing;
         this.figures = figures;
-        settings = config.settings().settings;
-        classNames = config.settings().classNames;
-        figures.classes(classNames);
+        adopt(config.settings());
         sockets = config.sockets();
         Dialer dialer = new Dialer(loop, transport);
-        probeLimitUs = PROBE_DIAL_LIMITS * config.settings().dialTimeoutUs;
         ingress = new Ingress(loop, transport, invariants, LEAST_SHARE, this);
         egress = new Egress(loop, dialer, invariants, config.settings().dialTimeoutUs, config.settings().connIdleUs, LEAST_SHARE);
         listParser = new ListUpdate.Parser(config.settings().zones, config.settings().kinds, invariants);
         discovery = new Discovery(loop, dialer, config.discovery(), listParser, invariants, this);
-        exchangeParser = new ExchangeParser(config.settings().classNames, settings.classes);
-        loadReport = new LoadReport(config.settings().reportFields);
         module = new Policy(settings, config.seed(), this);
         succession = new Succession(loop, invariants, config.meeting(), this);
         share();
@@ -243,12 +238,29 @@
         loop.post(() -> module.fleetFailed(loop.nowUs()));
     }
 
-    /** Another address serves the list from now on; what was told of it so far stands until that one speaks. */
-    void moveDiscovery(InetSocketAddress to) {
+    /** All that the settings decide here. */
+    private void adopt(SettingsMapping mapped) {
+        settings = mapped.settings;
+        classNames = mapped.classNames;
+        figures.classes(List.copyOf(mapped.classNumbers.keySet()));
+        probeLimitUs = PROBE_DIAL_LIMITS * mapped.dialTimeoutUs;
+        exchangeParser = new ExchangeParser(mapped.classNumbers, settings.classes);
+        loadReport = new LoadReport(mapped.reportFields);
+    }
+
+    /**
+     * Takes over a configuration that was read and checked whole. Jobs under way keep the numbers of their classes.
+     * Where another address serves the list, what was told of it so far stands until that one speaks.
+     */
+    void reload(Config next) {
+        adopt(next.settings());
+        egress.limits(next.settings().dialTimeoutUs, next.settings().connIdleUs);
+        module.retune(loop.nowUs(), settings);
+        discovery.move(next.discovery());
         invariants.count("reloads");
         figures.reloaded(true);
-        Log.line("discovery is now " + to);
-        discovery.move(to);
+        Log.line("reloaded: discovery " + next.discovery() + ", classes " + next.settings().classNumbers + ", at most "
+            + settings.maxAttempts + " attempts");
     }
 
     // ---- requests ----
--- a/src/main/java/hookweir/net/discovery/Discovery.java
+++ b/src/main/java/hookweir/net/discovery/Discovery.java
@@ -57,10 +57,13 @@
     }
 
     /**
-     * Goes over to another address, whatever the old one may still say. The list as held stands until the new one
+     * Goes over to another address, if it is one, whatever the old one may still say. The list as held stands until the new one
      * has sent a whole one; versions may be counted differently there.
      */
     public void move(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
         address = to;
         version = UNKNOWN;
         new ArrayList<>(fetches).forEach(Call::stop);
--- a/src/main/java/hookweir/net/egress/Egress.java
+++ b/src/main/java/hookweir/net/egress/Egress.java
@@ -23,8 +23,8 @@
     private final Loop loop;
     private final Dialer dialer;
     private final Invariants invariants;
-    private final long dialLimitUs;
-    private final long idleLimitUs;
+    private long dialLimitUs;
+    private long idleLimitUs;
     private int mostLinks;
     private final Map<Integer, EgressTarget> targets = new HashMap<>();
     private final Set<Link> open = new HashSet<>();
@@ -35,8 +35,13 @@
         this.loop = loop;
         this.dialer = dialer;
         this.invariants = invariants;
-        this.dialLimitUs = dialLimitUs;
         this.mostLinks = mostLinks;
+        limits(dialLimitUs, connIdleUs);
+    }
+
+    /** How long a dial may take, and when the worker's machine closes an idle link. */
+    public void limits(long newDialLimitUs, long connIdleUs) {
+        dialLimitUs = newDialLimitUs;
         // A link is closed here before the worker's machine does so in silence: a call would end as a reset.
         idleLimitUs = (long) Math.max(connIdleUs * IDLE_SHARE / 2, Math.min(connIdleUs * IDLE_SHARE, connIdleUs - IDLE_MARGIN_US));
     }
--- a/src/main/java/hookweir/net/ingress/ExchangeParser.java
+++ b/src/main/java/hookweir/net/ingress/ExchangeParser.java
@@ -2,7 +2,6 @@
 
 import hookweir.Contract;
 import hookweir.config.ConfigReader;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -11,7 +10,7 @@
     private static final long MOST_DEADLINE_MS = 24 * 3_600_000L;
     private static final int MOST_ID_CHARS = 128;
 
-    private final Map<String, Integer> classes = new HashMap<>();
+    private final Map<String, Integer> classes;
     private final List<Contract.RequestClass> classList;
 
     /** Headers that make no request; the message says which. */
@@ -23,11 +22,10 @@
         }
     }
 
-    public ExchangeParser(List<String> classNames, List<Contract.RequestClass> classList) {
+    /** Knows the classes of these numbers, of the classes in that list. */
+    public ExchangeParser(Map<String, Integer> classNumbers, List<Contract.RequestClass> classList) {
+        classes = classNumbers;
         this.classList = classList;
-        for (int i = 0; i < classNames.size(); i++) {
-            classes.put(classNames.get(i), i);
-        }
     }
 
     /** The request, numbered and with times of this clock. */
--- a/src/test/java/hookweir/PolicyRulesTest.java
+++ b/src/test/java/hookweir/PolicyRulesTest.java
@@ -187,6 +187,39 @@
         assertEquals(1, h.policy.avoided(h.now));
     }
 
+    /** New settings: fewer attempts hold at once, more only for new jobs, and no check goes out where probes are barred. */
+    @Test
+    void newSettingsHoldAndOldJobsKeepTheirClass() {
+        Contract.Settings s = settings(Effect.SAFE);
+        s.probes = true;
+        RecordingHost h = RecordingHost.with(s, 8);
+        h.fleet(worker(1), worker(2), worker(3));
+        h.report(1, 8);
+        h.report(2, 8);
+        h.report(3, 8);
+        h.take(1, s);
+        h.pass(100_000);
+        assertEquals(1, h.count("send 1 "));
+        Contract.Settings strict = settings(Effect.SAFE);
+        strict.classes.add(settings(Effect.UNSAFE).classes.get(0));
+        strict.maxAttempts = 2;
+        h.policy.retune(h.now, strict);
+        h.probes.clear();
+        h.ends(1, 0, h.sentTo.get(0), Outcome.ERROR, false);
+        h.pass(100_000);
+        assertEquals(2, h.count("send 1 "));
+        h.ends(1, 1, h.sentTo.get(1), Outcome.ERROR, false);
+        h.pass(20_000_000);
+        assertEquals(2, h.count("send 1 "));
+        assertEquals(1, h.count("refuse 1"));
+        assertTrue(h.probes.isEmpty());
+        Contract.Request r = h.request(2, strict);
+        r.requestClass = 1;
+        h.policy.request(h.now, r);
+        h.ends(2, 0, h.sentTo.get(2), Outcome.ERROR, false);
+        assertEquals(1, h.count("fail 2"));
+    }
+
     @Test
     void lateWorkThatEarnsNothingIsRefusedNotSent() {
         Contract.Settings s = settings(Effect.UNSAFE);
--- a/src/test/java/hookweir/config/ConfigReaderTest.java
+++ b/src/test/java/hookweir/config/ConfigReaderTest.java
@@ -2,8 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
@@ -27,6 +30,62 @@
         assertEquals(250_000, c.settings().dialTimeoutUs);
     }
 
+    private static final String RUNNING = "{'listen':'127.0.0.1:1','discovery':'127.0.0.1:2','settings':{'zones':['z'],"
+        + "'classes':[{'name':'a','deadline_us':9,'semantics':'read_like'},{'name':'b','deadline_us':9,'semantics':'read_like','aim_us':3}],"
+        + "'limits':{'max_attempts':3}}}";
+
+    private static Config again(Config running, String... replaced) throws Exception {
+        Path file = Files.createTempFile("hookweir", ".json");
+        try {
+            String text = RUNNING;
+            for (int i = 0; i < replaced.length; i += 2) {
+                text = text.replace(replaced[i], replaced[i + 1]);
+            }
+            Files.writeString(file, text.replace('\'', '"'));
+            return ConfigReader.again(Map.of("RELAY_CONFIG", file.toString()), running);
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    /** A default in place of a lost key changed what nobody asked to change; such files are refused whole. */
+    @Test
+    void brokenFilesAreRefusedAtAReload() throws Exception {
+        Config running = read(RUNNING, Map.of());
+        for (String[] fault : new String[][] {{"'deadline_us':9,", "", "classes.0.deadline_us"}, {"'deadline_us':9", "'deadline_us':0", "classes.0.deadline_us"},
+            {"'deadline_us':9", "'deadline_us':-4", "classes.0.deadline_us"}, {"'max_attempts':3", "'max_attempts':0", "limits.max_attempts"},
+            {"'max_attempts':3", "", "limits.max_attempts"}, {"'max_attempts':3", "'max_attempts':null", "limits.max_attempts"},
+            {"'discovery':'127.0.0.1:2',", "", "discovery"}, {"'listen':'127.0.0.1:1',", "", "listen"}, {RUNNING, "", "RELAY_CONFIG"},
+            {RUNNING, RUNNING.substring(0, 99), "RELAY_CONFIG"}, {RUNNING, RUNNING + "}", "RELAY_CONFIG"}, {"['z']", "['y']", "zones"},
+            {"'name':'a',", "", "classes.0.name"}, {"'max_attempts':3", "'max_attempts':'3'", "limits.max_attempts"}}) {
+            BadSetting e = assertThrows(BadSetting.class, () -> again(running, fault[0], fault[1]), fault[2]);
+            assertEquals(fault[2], e.key.replaceFirst("^settings\\.", ""));
+        }
+        assertThrows(BadSetting.class, () -> read(RUNNING.replace("'max_attempts':3", "'max_attempts':0"), Map.of())); // also at the start
+    }
+
+    /** Jobs under way keep their class: what changed gets a new number, what is gone is known no more, and may come back. */
+    @Test
+    void classesThatChangeGetNewNumbers() throws Exception {
+        Config first = read(RUNNING, Map.of());
+        Config second = again(first, "'name':'a','deadline_us':9,'semantics':'read_like'", "'name':'c','deadline_us':9,'semantics':'non_idempotent'",
+            "'aim_us':3", "'aim_us':4", "'max_attempts':3", "'max_attempts':1");
+        assertEquals(Map.of("c", 2, "b", 3), second.settings().classNumbers);
+        assertEquals(4, second.settings().settings.classes.size());
+        assertEquals(3, second.settings().settings.classes.get(1).aimUs);
+        assertEquals(4, second.settings().settings.classes.get(3).aimUs);
+        assertEquals(1, second.settings().settings.maxAttempts);
+        assertEquals(Map.of("a", 0, "b", 1), again(second).settings().classNumbers);
+    }
+
+    /** As only descriptor 0 can be inherited, another is a fault. */
+    @Test
+    void inheritedDescriptorIsNamed() throws Exception {
+        assertTrue(read(GOOD, Map.of("RELAY_FD", "0", "TMPDIR", "/tmp")).inherited());
+        assertEquals("RELAY_FD", assertThrows(BadSetting.class, () -> read(GOOD, Map.of("RELAY_FD", "3"))).key);
+        assertEquals("admin_addr", assertThrows(BadSetting.class, () -> read(GOOD, Map.of("RELAY_ADMIN_ADDR", "here"))).key);
+    }
+
     @Test
     void faultsNameTheirKey() {
         for (String[] fault : new String[][] {{"'127.0.0.1:1'", "'nowhere'", "listen"}, {"'127.0.0.1:2'", "'1.2.3.4:99999'", "discovery"},
--- a/src/test/java/hookweir/net/FailuresTest.java
+++ b/src/test/java/hookweir/net/FailuresTest.java
@@ -325,6 +325,39 @@
         }
     }
 
+    /** New settings are taken whole: a new class is served, a vanished one refused, and a job under way keeps its own. */
+    @Test
+    void reloadChangesSettings() throws Exception {
+        try (TestNode n = new TestNode("read_like"); Socket client = n.connect()) {
+            Path file = Files.createTempFile("hookweir", ".json");
+            Map<String, String> env = Map.of("RELAY_CONFIG", file.toString());
+            String now = n.config("127.0.0.1:" + n.list.getLocalPort());
+            say(client, job("r1"));
+            try (Socket w = n.worker.accept()) {
+                hear(w);
+                say(w, TAKEN);
+                Files.writeString(file, now.replace("\"render\"", "\"paint\"").replace("\"max_attempts\":3,", ""));
+                n.node.reload(env);
+                assertTrue(n.ask(job("r2").replace("render", "paint")).startsWith("HTTP/1.1 400"));
+                Files.writeString(file, now.replace("\"render\"", "\"paint\"").replace("read_like", "non_idempotent"));
+                n.node.reload(env);
+                Files.delete(file);
+                n.awaitCount("reloads", 1);
+                assertTrue(n.ask(job("r3")).startsWith("HTTP/1.1 400"));
+                n.tell("r1", "s-01", "failed");
+                assertTrue(hear(client).startsWith("HTTP/1.1 429")); // its class may be repeated still
+                say(client, job("r4").replace("render", "paint"));
+                hear(w);
+                say(w, TAKEN);
+                n.tell("r4", "s-01", "failed");
+                assertTrue(hear(client).startsWith("HTTP/1.1 500")); // the new class may not
+                String stats = n.call("GET", "stats");
+                assertTrue(stats.contains("svc_reload_success_total 1\n") && stats.contains("svc_reload_failure_total 1\n"), stats);
+                assertTrue(stats.contains("svc_overload_total{type=\"render\"} 1\n") && stats.contains("svc_error_total{type=\"paint\"} 1\n"), stats);
+            }
+        }
+    }
+
     /** An id that was answered here may still run at a worker: a second request of that id went there too. */
     @Test
     void idIsTakenOnce() throws Exception {
--- a/src/test/java/hookweir/net/ParsersTest.java
+++ b/src/test/java/hookweir/net/ParsersTest.java
@@ -36,7 +36,7 @@
         + "\"cell\":3,\"state\":\"SERVING\",\"weight\":1.5,\"started_ms\":17}";
     private static final String LIST = "{\"version\":41,\"full\":true,\"servers\":[" + ENTRY + "]}";
     private final Invariants invariants = new Invariants();
-    private final ExchangeParser exchanges = new ExchangeParser(List.of("render"), List.of(new Contract.RequestClass()));
+    private final ExchangeParser exchanges = new ExchangeParser(java.util.Map.of("render", 0), List.of(new Contract.RequestClass()));
     private final LoadReport loads = new LoadReport(new String[] {"x0", "utilization"});
 
     /** A copy of the text with some bytes overwritten. */
--- a/src/test/java/hookweir/net/TestNode.java
+++ b/src/test/java/hookweir/net/TestNode.java
@@ -50,7 +50,7 @@
         Config config;
         try {
             Config c = ConfigReader.fromFile(file, Map.of());
-            config = new Config(c.name(), c.listen(), c.admin(), c.discovery(), c.seed(), c.sockets(), c.known(), c.settings(), false, meeting);
+            config = new Config(c.name(), c.listen(), c.admin(), c.discovery(), c.seed(), c.sockets(), c.known(), c.settings(), false, meeting, c.source());
         } catch (BadSetting e) {
             throw new IllegalStateException(e);
         }
