Evict the connection whose end costs least; a flood waits at the door

Design: IngressConnection.cost ranks by what an end costs a good client; one pass finds the cheapest. Over the cap by 8 the accept event is turned off until the loop has made room. Rejected: a cap on each peer's connections, as clients come through one front; a longer grace for all young ones, as the cap would then be held by the silent.

--- a/src/main/java/hookweir/net/SocketHost.java
+++ b/src/main/java/hookweir/net/SocketHost.java
@@ -41,7 +41,8 @@
 public final class SocketHost implements Contract.Host, Ingress.Handler, Discovery.Listener, Succession.Listener {
     private static final byte[] NOTHING = new byte[0];
     private static final double EGRESS_SHARE = 0.45;
-    private static final int OWN_DESCRIPTORS = 64;
+    /** Beside clients and links: the JVM's own, operators', discovery's, neighbours', and those not yet seen. */
+    private static final int OWN_DESCRIPTORS = 48;
     private static final int PROBE_DIAL_LIMITS = 2;
     private static final int TAKE_DIAL_LIMITS = 6;
     /** No share of breaks is low enough: a link of its own. */
--- a/src/main/java/hookweir/net/ingress/Ingress.java
+++ b/src/main/java/hookweir/net/ingress/Ingress.java
@@ -17,7 +17,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Predicate;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CloseListener;
 import org.glassfish.grizzly.CloseType;
@@ -63,16 +62,14 @@
      * clients may write for 2 s, and bad ones are owed an answer within 3 s, the sweep's turn included.
      */
     private static final long SLOW_US = 2_500_000;
-    /** A good client sends its first request sooner than this after connecting, or begins to. */
-    private static final long DUE_US = 500_000;
     private static final long SWEEP_US = 200_000;
     /** After an error that ends a connection, its client has so long to read it. */
     private static final long LINGER_US = 500_000;
     /** So much is still read and dropped then, lest a reset overtake the error; a sender of more is left to stall. */
     private static final int MOST_DROPPED = 256 * 1024;
     private static final int MOST_AHEAD = 8;
-    /** Connections accepted but not yet known to the loop may go over the cap by so many. */
-    private static final int UNSEEN = 24;
+    /** Connections accepted but not yet known to the loop may go over the cap by so many, then the door is shut. */
+    private static final int UNSEEN = 8;
     private static final int BAD = 400;
     private static final int TIMED_OUT = 408;
     private static final int SHED = 429;
@@ -91,6 +88,9 @@
     private final TCPNIOBindingHandler binding;
     private TCPNIOServerConnection listener;
     private final AtomicInteger accepted = new AtomicInteger();
+    /** Clients are to be let in; a flood of them is not yet dealt with. Both guarded by this. */
+    private boolean wanted = true;
+    private boolean flooded;
     private boolean sendingAway;
     private int writing;
 
@@ -128,15 +128,40 @@
      * Lets clients in, or leaves them to whoever else accepts from the same socket. It is not closed for that: the
      * class library would put the null device in place of standard output and error with an inherited one.
      */
-    public void accepts(boolean on) {
+    public synchronized void accepts(boolean on) {
+        wanted = on;
+        turnDoor();
+    }
+
+    /**
+     * Guards the descriptor limit while the loop has not yet seen a flood of connections: they wait in the kernel until
+     * it has made room. Closing them here would hit good clients as well as the crowd.
+     */
+    private synchronized void flooded(boolean over) {
+        if (over != flooded) {
+            invariants.count(over ? "ingress door shut for a moment" : "ingress door open again");
+            flooded = over;
+            turnDoor();
+        }
+    }
+
+    private void turnDoor() {
         try {
-            if (on) {
+            if (wanted && !flooded) {
                 listener.enableIOEvent(IOEvent.SERVER_ACCEPT);
             } else {
                 listener.disableIOEvent(IOEvent.SERVER_ACCEPT);
             }
         } catch (IOException e) {
-            Log.line("accepting can't be turned " + (on ? "on: " : "off: ") + e.getMessage());
+            Log.line("the door is stuck: " + e.getMessage());
+        }
+    }
+
+    private void counted(int open) {
+        if (open >= mostConnections + UNSEEN) {
+            flooded(true);
+        } else if (open <= mostConnections + UNSEEN / 2) {
+            flooded(false);
         }
     }
 
@@ -145,14 +170,8 @@
         @Override
         public NextAction handleAccept(FilterChainContext ctx) {
             Connection<?> c = ctx.getConnection();
-            // Guards the descriptor limit while the loop has not yet seen a flood of connections.
-            boolean over = accepted.incrementAndGet() > mostConnections + UNSEEN;
-            c.addCloseListener((CloseListener<Closeable, CloseType>) (closeable, type) -> accepted.decrementAndGet());
-            if (over) {
-                invariants.count("ingress closed at the door");
-                c.closeSilently();
-                return ctx.getStopAction();
-            }
+            counted(accepted.incrementAndGet());
+            c.addCloseListener((CloseListener<Closeable, CloseType>) (closeable, type) -> counted(accepted.decrementAndGet()));
             IngressConnection here = new IngressConnection(c, loop.nowUs());
             HERE.set(c, here);
             loop.post(() -> opened(here));
@@ -273,16 +292,19 @@
         }
     }
 
-    /**
-     * Guards the descriptor limit: those with their last word go first, then those that never sent a request, silent
-     * ones before those with half of one; then the longest idle, call-backs' last.
-     */
+    /** Guards the descriptor limit: the one whose end costs least, of several such the longest unused. */
     private Optional<IngressConnection> victim(IngressConnection newest) {
-        return firstIdle(o -> o.closing)
-            .or(() -> firstIdle(o -> !o.proven && o != newest && o.insideSinceUs == 0))
-            .or(() -> firstIdle(o -> !o.proven && o != newest))
-            .or(() -> firstIdle(o -> o.proven && !o.carriesCallbacks && o.insideSinceUs == 0))
-            .or(() -> firstIdle(o -> o.proven && o.insideSinceUs == 0));
+        long now = loop.nowUs();
+        IngressConnection best = null;
+        int least = IngressConnection.NEEDED;
+        for (IngressConnection c : all) {
+            int cost = c == newest ? IngressConnection.NEEDED : c.cost(now);
+            if (cost < least) {
+                least = cost;
+                best = c;
+            }
+        }
+        return Optional.ofNullable(best);
     }
 
     private void evict(IngressConnection victim) {
@@ -292,10 +314,6 @@
         victim.connection.closeSilently();
     }
 
-    private Optional<IngressConnection> firstIdle(Predicate<IngressConnection> among) {
-        return all.stream().filter(o -> o.idle() && among.test(o)).findFirst();
-    }
-
     private void closed(IngressConnection c) {
         c.closing = true;
         all.remove(c);
@@ -359,6 +377,7 @@
 
     /** Marks what to do if the client leaves before its answer. */
     public void onGone(IngressConnection c, Runnable gone) {
+        c.carriesJobs = true;
         c.onGone = gone;
     }
 
@@ -471,7 +490,7 @@
 
     /** Nothing is being read or answered, and no connection is so young that its request may be on the way. */
     public boolean quiet() {
-        long youngUs = loop.nowUs() - DUE_US;
+        long youngUs = loop.nowUs() - IngressConnection.DUE_US;
         return writing == 0 && all.stream().allMatch(c -> c.idle() && c.insideSinceUs == 0 && (c.proven || c.openedUs < youngUs));
     }
 
--- a/src/main/java/hookweir/net/ingress/IngressConnection.java
+++ b/src/main/java/hookweir/net/ingress/IngressConnection.java
@@ -6,6 +6,13 @@
 
 /** One accepted connection. The upper fields belong to the loop, the lower ones to the selector. */
 public final class IngressConnection {
+    /** The cost of one that is in use. */
+    static final int NEEDED = 8;
+    /** A good client begins its first request sooner than this after connecting... */
+    static final long DUE_US = 400_000;
+    /** ...and has written any request by this. */
+    private static final long WRITTEN_US = 2_200_000;
+
     final Connection<?> connection;
     final long openedUs;
     /** The request being answered, or null. */
@@ -18,6 +25,7 @@
     /** It brought a whole request once. */
     boolean proven;
     boolean carriesCallbacks;
+    boolean carriesJobs;
     boolean closing;
     /** Requests in a row that were no good; whether reading pauses for them; whether it pauses at all. */
     int errors;
@@ -42,6 +50,24 @@
         this.lastUsedUs = openedUs;
     }
 
+    /**
+     * What its end would cost, {@link #NEEDED} at most. A client whose kept connection ends opens another, so that costs
+     * less than a young one: a new connection for each job is what some good clients use, and some write it for 2 s.
+     */
+    int cost(long now) {
+        long inside = insideSinceUs;
+        if (closing) {
+            return 0; // it had its last word
+        } else if (!idle()) {
+            return NEEDED;
+        } else if (inside != 0) {
+            return now - inside > WRITTEN_US ? 3 : 7;
+        } else if (!proven) {
+            return now - openedUs > DUE_US ? 1 : 6;
+        }
+        return carriesCallbacks ? 5 : carriesJobs ? 4 : 2;
+    }
+
     /** A client's kept connection between requests: it may be closed and nothing is lost. */
     boolean resting() {
         return idle() && proven && insideSinceUs == 0 && !carriesCallbacks;
--- a/src/test/java/hookweir/net/FailuresTest.java
+++ b/src/test/java/hookweir/net/FailuresTest.java
@@ -247,18 +247,28 @@
         }
     }
 
-    /** At the cap a good client's idle connection was closed for a silent one; those without a request go first. */
+    /** At the cap a client that had just come and was writing its job went before a crowd that asked once and stayed. */
     @Test
-    void silentCrowdTakesNoGoodClientsPlace() throws Exception {
+    void crowdTakesNoWritersPlace() throws Exception {
         List<Socket> crowd = new ArrayList<>();
-        try (TestNode n = new TestNode("read_like"); Socket good = n.connect()) {
-            say(good, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n");
-            assertTrue(hear(good).startsWith("HTTP/1.1 200"));
+        try (TestNode n = new TestNode("read_like")) {
             while (n.node.invariants().counted("ingress closed at the cap") == 0) {
-                crowd.add(n.connect());
+                askAndStay(n, crowd);
+            }
+            try (Socket good = n.connect()) {
+                String job = job("l1");
+                say(good, job.substring(0, job.length() / 2));
+                for (int i = 0; i < 60; i++) { // more than there is room for
+                    askAndStay(n, crowd);
+                }
+                say(good, job.substring(job.length() / 2));
+                try (Socket w = n.worker.accept()) {
+                    hear(w);
+                    say(w, TAKEN);
+                    n.tell("l1", "s-01", "done");
+                    assertTrue(hear(good).startsWith("HTTP/1.1 200"));
+                }
             }
-            say(good, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n");
-            assertTrue(hear(good).startsWith("HTTP/1.1 200"));
         } finally {
             for (Socket s : crowd) {
                 s.close();
@@ -266,6 +276,39 @@
         }
     }
 
+    private static void askAndStay(TestNode n, List<Socket> crowd) throws IOException {
+        Socket s = n.connect();
+        crowd.add(s);
+        say(s, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n");
+        assertTrue(hear(s).startsWith("HTTP/1.1 200"));
+    }
+
+    /** A flood that the loop has not seen yet waits in the kernel; newcomers were closed, good ones too. */
+    @Test
+    void floodWaitsAtTheDoor() throws Exception {
+        List<Socket> flood = new ArrayList<>();
+        try (TestNode n = new TestNode("read_like")) {
+            Object gate = new Object();
+            synchronized (gate) {
+                n.node.post(() -> {
+                    synchronized (gate) {
+                        n.node.invariants().count("let go");
+                    }
+                });
+                while (n.node.invariants().counted("ingress door shut for a moment") == 0) {
+                    flood.add(n.connect());
+                }
+                flood.add(n.connect());
+                say(flood.get(flood.size() - 1), "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n");
+            }
+            assertTrue(hear(flood.get(flood.size() - 1)).startsWith("HTTP/1.1 200"));
+        } finally {
+            for (Socket s : flood) {
+                s.close();
+            }
+        }
+    }
+
     /** Hundreds of requests sent ahead on one connection: closing it lost the one being answered. */
     @Test
     void manyRequestsAheadAreAllAnswered() throws Exception {
