--- a/src/main/java/hookweir/net/SocketHost.java
+++ b/src/main/java/hookweir/net/SocketHost.java
@@ -644,10 +644,11 @@
         if (!draining) {
             draining = true;
             standing.leaves();
-            Log.line("draining, held=" + byName.size());
+            int held = byName.size();
             long since = loop.nowUs();
             ingress.sendAway(true);
             module.leaving(since, since + LET_GO_AFTER_US);
+            Log.line("draining, held=" + held + ", of them let go at once " + exchanges.values().stream().filter(x -> x.closed).count());
             loop.after(EXIT_AFTER_US, () -> exitWhenIdle(since));
         }
     }
