--- a/src/main/java/hookweir/Rehearsal.java
+++ b/src/main/java/hookweir/Rehearsal.java
@@ -53,13 +53,15 @@
         // Sent on to this same scheduler, the id is there already, so the only worker fails it.
         right &= ask(port, post("/api/1", "Req-Id: 1\r\nReq-Kind: k\r\nReq-Deadline-Ms: 1000\r\n", "work")).startsWith("HTTP/1.1 429");
         right &= ask(port, post("/callback", "", "{\"id\":\"2\",\"from\":\"w\",\"state\":\"done\",\"result\":\"\"}")).startsWith("HTTP/1.1 204");
+        right &= ask(node.adminPort(), "GET /admin/health HTTP/1.1\r\nHost: h\r\n\r\n").startsWith("HTTP/1.1 200");
+        right &= ask(node.adminPort(), "GET /admin/stats HTTP/1.1\r\nHost: h\r\n\r\n").contains("svc_success_total{type=\"k\"}");
         node.drain();
         loop.join();
         return right;
     }
 
     private static String config(String self) {
-        return ("{'name':'rehearsal','listen':'" + self + "','discovery':'" + self + "','seed':'1','known':{'version':1,'full':true,"
+        return ("{'name':'rehearsal','listen':'" + self + "','admin_addr':'127.0.0.1:0','discovery':'" + self + "','seed':'1','known':{'version':1,'full':true,"
             + "'servers':[{'id':'s-1','addr':'" + self + "','zone':'z','kind':'m','cell':0,'state':'SERVING','weight':1,'started_ms':0}]},"
             + "'settings':{'classes':[{'name':'k','aim_us':500000,'deadline_us':1000000,'semantics':'read_like','key_scope':'all'}],"
             + "'zones':['z'],'kinds':['m'],'discovery':'ask','rules':{'ask_within_us':1000},'stats':{'via':'pull','fields':['x0']},"
--- a/src/test/java/hookweir/config/ConfigReaderTest.java
+++ b/src/test/java/hookweir/config/ConfigReaderTest.java
@@ -52,9 +52,11 @@
     @Test
     void brokenFilesAreRefusedAtAReload() throws Exception {
         Config running = read(RUNNING, Map.of());
-        for (String[] fault : new String[][] {{"'deadline_us':9,", "", "classes.0.deadline_us"}, {"'deadline_us':9", "'deadline_us':0", "classes.0.deadline_us"},
+        for (String[] fault : new String[][] {{"'deadline_us':9,", "", "classes.0.deadline_us"},
+            {"'deadline_us':9", "'deadline_us':0", "classes.0.deadline_us"},
             {"'deadline_us':9", "'deadline_us':-4", "classes.0.deadline_us"}, {"'max_attempts':3", "'max_attempts':0", "limits.max_attempts"},
-            {"'max_attempts':3", "", "limits.max_attempts"}, {"'max_attempts':3", "'max_attempts':null", "limits.max_attempts"},
+            {"'max_attempts':3", "", "limits.max_attempts"},
+            {"'max_attempts':3", "'max_attempts':null", "limits.max_attempts"},
             {"'discovery':'127.0.0.1:2',", "", "discovery"}, {"'listen':'127.0.0.1:1',", "", "listen"}, {RUNNING, "", "RELAY_CONFIG"},
             {RUNNING, RUNNING.substring(0, 99), "RELAY_CONFIG"}, {RUNNING, RUNNING + "}", "RELAY_CONFIG"}, {"['z']", "['y']", "zones"},
             {"'name':'a',", "", "classes.0.name"}, {"'max_attempts':3", "'max_attempts':'3'", "limits.max_attempts"}}) {
--- a/src/test/java/hookweir/net/FailuresTest.java
+++ b/src/test/java/hookweir/net/FailuresTest.java
@@ -288,19 +288,13 @@
     void floodWaitsAtTheDoor() throws Exception {
         List<Socket> flood = new ArrayList<>();
         try (TestNode n = new TestNode("read_like")) {
-            Object gate = new Object();
-            synchronized (gate) {
-                n.node.post(() -> {
-                    synchronized (gate) {
-                        n.node.invariants().count("let go");
-                    }
-                });
-                while (n.node.invariants().counted("ingress door shut for a moment") == 0) {
-                    flood.add(n.connect());
-                }
+            CountDownLatch gate = n.busy();
+            while (n.node.invariants().counted("ingress door shut for a moment") == 0) {
                 flood.add(n.connect());
-                say(flood.get(flood.size() - 1), "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n");
             }
+            flood.add(n.connect());
+            say(flood.get(flood.size() - 1), "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n");
+            gate.countDown();
             assertTrue(hear(flood.get(flood.size() - 1)).startsWith("HTTP/1.1 200"));
         } finally {
             for (Socket s : flood) {
--- a/src/test/java/hookweir/net/OperatorsTest.java
+++ b/src/test/java/hookweir/net/OperatorsTest.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -60,17 +61,12 @@
     @Test
     void answersDoNotQueueBehindTheLoop() throws Exception {
         try (TestNode n = new TestNode("read_like")) {
-            Object gate = new Object();
-            synchronized (gate) {
-                n.node.post(() -> {
-                    synchronized (gate) {
-                        n.node.invariants().count("let go");
-                    }
-                });
-                assertTrue(n.call("GET", "health").startsWith("HTTP/1.1 200"));
-                assertTrue(n.call("PUT", "quiesce").startsWith("HTTP/1.1 200"));
-                assertEquals(0, n.node.invariants().counted("let go"));
-            }
+            CountDownLatch gate = n.busy();
+            assertTrue(n.call("GET", "health").startsWith("HTTP/1.1 200"));
+            assertTrue(n.call("GET", "stats").startsWith("HTTP/1.1 200"));
+            assertTrue(n.call("PUT", "quiesce").startsWith("HTTP/1.1 200"));
+            assertEquals(0, n.node.invariants().counted("let go"));
+            gate.countDown();
             assertTrue(n.ask(HEALTHZ).startsWith("HTTP/1.1 503"));
         }
     }
--- a/src/test/java/hookweir/net/TestNode.java
+++ b/src/test/java/hookweir/net/TestNode.java
@@ -13,6 +13,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 
 /** A scheduler on a free port with one worker, which is a plain server socket that the test plays by hand. */
 final class TestNode implements AutoCloseable {
@@ -103,6 +104,20 @@
         return s;
     }
 
+    /** Keeps the loop busy until the latch is let go; counted as "let go" then. */
+    CountDownLatch busy() {
+        CountDownLatch gate = new CountDownLatch(1);
+        node.post(() -> {
+            try {
+                gate.await();
+                node.invariants().count("let go");
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        return gate;
+    }
+
     /** Waits until something was counted so often. */
     void awaitCount(String name, long times) throws InterruptedException {
         while (node.invariants().counted(name) < times) {
