--- a/src/main/java/hookweir/Contract.java
+++ b/core/src/main/java/hookweir/Contract.java
@@ -308,6 +308,14 @@
         /** Calls {@link Dispatcher#timer} with this token after delayUs. */
         void timer(long token, long delayUs);
 
+        /**
+         * As {@link #timer}, once for a request, during {@link Dispatcher#request}: it need not come any more once the
+         * request has its final answer and no attempt of it is out.
+         */
+        default void guard(int requestId, long token, long delayUs) {
+            timer(token, delayUs);
+        }
+
         /** Subscribes to changes of the list, or ends that. */
         void watchList(boolean on);
 
--- a/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -36,6 +36,7 @@
     private static final double LEAST_ROOM = 0.5; // less by a fresh figure reads as full
     private static final double HEAVY = 2; // mean jobs from which a job is heavy and its run is looked at
     private static final double TOO_SLOW = 0.1; // room at a worker whose pace ends a heavy job after its aim
+    private static final double AMPLE = 0.75; // fill up to which a guess that a job is late is doubted
     private static final double RESERVE = 0.25; // of a worker is left free by work that is late already
     private static final double PRIOR = 0.01; // worker at half fill in the mean, for want of figures
     private static final double RATE_WINDOW_S = 5; // requests of so many seconds make up the request rate
@@ -64,7 +65,7 @@
     private static final class Job {
         int attempts, out, looking;
         double slots;
-        long aimUs, firstRunUs, startedUs;
+        long aimUs, fairUs, firstRunUs, startedUs;
         boolean done, bound, mayHaveRun, waiting;
         Contract.Request r;
         RequestClass in;
@@ -87,7 +88,7 @@
     private double[] weight = new double[64], kindSlots = {}, kindPace = {};
     private double serviceUs = 1e6, staleUs, lookUs, arrivals, eager = 1;
     private double crossing, meanPace = 1, meanFill = 0.5, meanMs = Double.NaN;
-    private long random, arrivalsUs, leaveUs;
+    private long random, arrivalsUs, leaveUs, turnedUs = Long.MIN_VALUE / 2;
     private boolean started, watching;
 
     /** A dispatcher at its start; the seed makes its draws differ from those of others. */
@@ -195,11 +196,14 @@
         // A client's tries share one aim, counted from its first.
         long born = Math.min(now, r.giveUpAtUs - j.in.deadlineUs);
         j.aimUs = Math.min(born + j.in.aimUs + (long) (j.in.stretch * j.r.hintUs), r.giveUpAtUs);
+        // That it waited before is a guess by its deadline: unless marked it may be a first try.
+        j.fairUs = j.aimUs - j.r.hintUs;
+        if (!r.repeat) j.fairUs = Math.min(j.fairUs + now - born, r.giveUpAtUs - j.r.hintUs);
         jobs.put(j.r.id, j);
         arrivals = arrivals * fade(now - arrivalsUs, RATE_WINDOW_S * 1e6) + 1;
         arrivalsUs = now;
         long guardUs = leaveUs > 0 ? Math.min(leaveUs, j.r.giveUpAtUs) : j.r.giveUpAtUs;
-        host.timer(token(GUARD, j.r.id), Math.max(0, guardUs - now - 2 * set.tickUs));
+        host.guard(j.r.id, token(GUARD, j.r.id), Math.max(0, guardUs - now - 2 * set.tickUs));
         boolean firstTry = !r.repeat && born >= now - 4 * set.tickUs;
         W lot = firstTry && endsHere(j, now) ? coldLot(j, now) : null;
         if (lot != null && maySend(j, now)) send(j, lot, now);
@@ -282,7 +286,10 @@
         // Departure: while own jobs wait at workers, others look at the same old room: take it less often.
         boolean shy = inTime && j.looks != null && uniform() > eager;
         j.looks = null;
-        boolean worthless = !inTime && j.in.lateWorth <= 0 && mayRefuse(j);
+        // Who waited was turned away somewhere; while nobody was here, a short deadline is a client's own.
+        boolean calm = meanFill < AMPLE && now - turnedUs > j.in.deadlineUs;
+        boolean hurry = room > 0 && now < j.fairUs && calm;
+        boolean worthless = !inTime && !hurry && j.in.lateWorth <= 0 && mayRefuse(j);
         if (at >= 0 && !worthless && !shy && (room > 0 || !believed(j) || !inTime && !mayRefuse(j))) {
             send(j, workers.get(at), now);
         } else if (inTime) {
@@ -355,6 +362,7 @@
 
     /** The one place that ends a request: refused where a repeat is harmless, else failed. */
     private void finish(Job j, long now) {
+        turnedUs = now;
         long back = leaveUs > 0 ? Math.min(BACK_SOON_US, set.maxComeBackUs) : set.maxComeBackUs;
         if (mayRefuse(j)) host.refuse(j.r.id, set.comeBackAdvice ? back : 0);
         else host.fail(j.r.id);
--- a/src/test/java/hookweir/PolicyRulesTest.java
+++ b/core/src/test/java/hookweir/PolicyRulesTest.java
@@ -229,11 +229,34 @@
         h.report(1, 8);
         Contract.Request r = h.request(1, s);
         r.giveUpAtUs = h.now + 3_000_000;
+        r.repeat = true;
         h.policy.request(h.now, r);
         assertEquals(1, h.count("refuse 1"));
         assertEquals(0, h.count("send"));
     }
 
+    /** A client that names less time than its class has was taken for one that had waited, and refused on an idle fleet. */
+    @Test
+    void aClientInAHurryIsServedWhereThereIsRoom() {
+        Contract.Settings s = settings(Effect.UNSAFE);
+        s.classes.get(0).lateWorth = 0;
+        RecordingHost h = RecordingHost.with(s, 8);
+        h.fleet(worker(1));
+        h.report(1, 64);
+        for (int tenths = 2; tenths <= 20; tenths += 2) {
+            Contract.Request r = h.request(tenths, s);
+            r.giveUpAtUs = h.now + s.classes.get(0).deadlineUs * tenths / 10;
+            h.policy.request(h.now, r);
+            assertEquals(1, h.count("send " + tenths + " "), "deadline of " + tenths + " tenths");
+            h.ends(tenths, 0, 1, Outcome.OK, true);
+        }
+        h.report(1, 0);
+        Contract.Request late = h.request(99, s);
+        late.giveUpAtUs = h.now + s.classes.get(0).aimUs / 2;
+        h.policy.request(h.now, late);
+        assertEquals(1, h.count("refuse 99"));
+    }
+
     @Test
     void withoutAHintAHeldJobMustStartWithinThePlainAim() {
         Contract.Settings s = settings(Effect.UNSAFE);
--- /dev/null
+++ b/core/src/test/java/hookweir/timer/TimerWheelTest.java
@@ -0,0 +1,102 @@
+package hookweir.timer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.ref.WeakReference;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class TimerWheelTest {
+    private static final Runnable NOTHING = () -> { };
+
+    /** Against a plain sorted map: each comes due once, never early, at most a tick late, unless it was cancelled. */
+    @Property(tries = 40)
+    void agreesWithASortedMap(@ForAll long seed) {
+        Random random = new Random(seed);
+        long now = Math.abs(random.nextInt()) * 1000L;
+        TimerWheel wheel = new TimerWheel(now);
+        TreeMap<Integer, Long> expected = new TreeMap<>();
+        Map<Integer, TimerWheel.Timer> timers = new TreeMap<>();
+        List<Integer> fired = new ArrayList<>();
+        for (int i = 0; i < 600; i++) {
+            int number = i;
+            if (random.nextInt(3) > 0) {
+                long at = now + (random.nextInt(4) == 0 ? random.nextInt(30_000_000) : random.nextInt(20_000)) - 2_000;
+                timers.put(i, wheel.set(at, () -> fired.add(number)));
+                expected.put(i, at);
+            }
+            if (random.nextInt(4) == 0 && !expected.isEmpty()) {
+                int victim = expected.firstKey();
+                timers.get(victim).cancel();
+                expected.remove(victim);
+            }
+            now += random.nextInt(10) == 0 ? random.nextInt(12_000_000) : random.nextInt(3_000);
+            assertTrue(wheel.waitUs(now) <= 70_000);
+            for (Runnable task = wheel.poll(now); task != null; task = wheel.poll(now)) {
+                task.run();
+            }
+            for (int one : fired) {
+                assertTrue(expected.remove(one) <= now, "early");
+            }
+            fired.clear();
+            for (long at : expected.values()) {
+                assertTrue(at > now - TimerWheel.TICK_US, "late by " + (now - at));
+            }
+            assertEquals(expected.size(), wheel.size());
+        }
+    }
+
+    /** What is kept of a million cancelled timers is nothing: neither places nor tasks. */
+    @Test
+    void aMillionCancelledLeaveNothing() {
+        TimerWheel wheel = new TimerWheel(0);
+        WeakReference<Object> seen = null;
+        for (int i = 0; i < 1_000_000; i++) {
+            byte[] held = new byte[100];
+            TimerWheel.Timer t = wheel.set(25_000_000L + i, () -> held[0]++);
+            if (i == 500_000) {
+                seen = new WeakReference<>(held);
+            }
+            t.cancel();
+        }
+        assertEquals(0, wheel.size());
+        for (int i = 0; i < 50 && seen.get() != null; i++) {
+            System.gc();
+        }
+        assertNull(seen.get());
+    }
+
+    /** A timer that is due and not yet handed out can be cancelled by the one before it. */
+    @Test
+    void theOneBeforeCancels() {
+        TimerWheel wheel = new TimerWheel(0);
+        wheel.set(10_000, NOTHING);
+        TimerWheel.Timer second = wheel.set(10_000, NOTHING);
+        assertEquals(NOTHING, wheel.poll(20_000));
+        assertTrue(second.isSet());
+        second.cancel();
+        second.cancel();
+        assertNull(wheel.poll(20_000));
+        assertFalse(second.isSet());
+        assertEquals(0, wheel.size());
+    }
+
+    /** A clock that stands still for an hour, with nothing set or with a timer of an hour, loses nothing. */
+    @Test
+    void longSleeps() {
+        TimerWheel wheel = new TimerWheel(0);
+        assertNull(wheel.poll(3_600_000_000L));
+        wheel.set(7_200_000_000L, NOTHING);
+        assertNull(wheel.poll(7_199_999_000L));
+        assertEquals(NOTHING, wheel.poll(7_200_001_024L));
+    }
+}
--- a/src/main/java/hookweir/Main.java
+++ b/node/src/main/java/hookweir/Main.java
@@ -10,6 +10,7 @@
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
 import org.kohsuke.args4j.spi.SubCommand;
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
@@ -19,9 +20,19 @@
     private static final int USAGE = 2;
     private static final int FAILED = 1;
 
-    /** A sub-command; its exit status, where it ends. */
-    interface Command {
-        int run() throws IOException, InterruptedException;
+    /** A sub-command. */
+    abstract static class Command {
+        @Option(name = "--help", aliases = "-h", help = true, usage = "prints this")
+        private boolean help;
+
+        /** Runs it; its exit status, where it ends. */
+        abstract int run() throws IOException, InterruptedException;
+
+        /** What it does, in a line. */
+        abstract String what();
+
+        /** A call of it, for its help. */
+        abstract String example();
     }
 
     @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class,
@@ -35,6 +46,9 @@
         @SubCommand(name = "version", impl = Version.class)})
     private Command command;
 
+    @Option(name = "--help", aliases = "-h", help = true, usage = "prints this")
+    private boolean help;
+
     /** Entry point. */
     public static void main(String[] args) throws IOException, InterruptedException {
         Main main = new Main();
@@ -43,17 +57,36 @@
             parser.parseArgument(args);
         } catch (CmdLineException e) {
             System.err.println("hookweir: " + e.getMessage());
-            System.err.println("usage: java -jar hookweir.jar COMMAND");
+            System.err.println("usage: java -jar hookweir.jar COMMAND, where COMMAND --help tells more");
             parser.printUsage(System.err);
             System.exit(USAGE);
         }
-        System.exit(main.command.run());
+        if (main.help) {
+            System.out.println("usage: java -jar hookweir.jar COMMAND, where COMMAND --help tells more");
+            parser.printUsage(System.out);
+        } else if (main.command.help) {
+            System.out.println(main.command.what());
+            new CmdLineParser(main.command).printUsage(System.out);
+            System.out.println("example: " + main.command.example());
+        } else {
+            System.exit(main.command.run());
+        }
     }
 
     /** The scheduler. */
-    public static final class Serve implements Command {
+    public static final class Serve extends Command {
+        @Override
+        String what() {
+            return "The scheduler on sockets, told by the RELAY_ variables: see README.md.";
+        }
+
+        @Override
+        String example() {
+            return "RELAY_CONFIG=config.json java -jar hookweir.jar serve";
+        }
+
         @Override
-        public int run() throws IOException, InterruptedException {
+        int run() throws IOException, InterruptedException {
             Config config;
             try {
                 config = ConfigReader.fromEnvironment(System.getenv());
@@ -66,21 +99,41 @@
     }
 
     /** The simulator's wire on standard input and output. */
-    public static final class Adapter implements Command {
+    public static final class Adapter extends Command {
+        @Override
+        String what() {
+            return "The same decisions on the simulator's wire, on standard input and output.";
+        }
+
         @Override
-        public int run() {
+        String example() {
+            return "java -jar hookweir.jar adapter";
+        }
+
+        @Override
+        int run() {
             hookweir.adapter.Main.main(new String[] {"adapter"});
             return 0;
         }
     }
 
     /** Checks a configuration without serving. */
-    public static final class CheckConfig implements Command {
+    public static final class CheckConfig extends Command {
+        @Override
+        String what() {
+            return "Checks a configuration and names the faulty key.";
+        }
+
+        @Override
+        String example() {
+            return "java -jar hookweir.jar check-config config.json";
+        }
+
         @Argument(required = true, metaVar = "FILE", usage = "the configuration")
         private String file;
 
         @Override
-        public int run() {
+        int run() {
             try {
                 Config c = ConfigReader.fromFile(Path.of(file), Map.of());
                 System.out.println("ok: " + c.name() + " on " + c.listen() + ", discovery " + c.discovery() + ", "
@@ -94,9 +147,19 @@
     }
 
     /** Serves itself a few requests and ends. */
-    public static final class Rehearse implements Command {
+    public static final class Rehearse extends Command {
         @Override
-        public int run() throws IOException, InterruptedException {
+        String what() {
+            return "Serves itself a few requests and ends.";
+        }
+
+        @Override
+        String example() {
+            return "java -jar hookweir.jar rehearse";
+        }
+
+        @Override
+        int run() throws IOException, InterruptedException {
             boolean right = Rehearsal.plays();
             System.out.println(right ? "rehearsal ok" : "rehearsal failed");
             return right ? 0 : FAILED;
@@ -104,9 +167,19 @@
     }
 
     /** Prints the version. */
-    public static final class Version implements Command {
+    public static final class Version extends Command {
+        @Override
+        String what() {
+            return "Prints the version.";
+        }
+
+        @Override
+        String example() {
+            return "java -jar hookweir.jar version";
+        }
+
         @Override
-        public int run() {
+        int run() {
             String version = Main.class.getPackage().getImplementationVersion();
             System.out.println("hookweir " + (version == null ? "(unpackaged)" : version));
             return 0;
--- a/src/main/java/hookweir/config/Config.java
+++ b/node/src/main/java/hookweir/config/Config.java
@@ -13,6 +13,8 @@
  * @param discovery where the list of workers is served
  * @param seed for the module's draws
  * @param sockets descriptors that the process may hold
+ * @param heldBytes bytes that may be held for others: bodies, results, output not yet read
+ * @param heldJobs jobs that may be held
  * @param known the list as last held, in discovery's form, or null
  * @param settings the deployment's settings
  * @param inherited the clients' listening socket is the platform's, handed on as descriptor 0
@@ -20,5 +22,5 @@
  * @param source all of it as it was read
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery, long seed,
-    int sockets, JsonNode known, SettingsMapping settings, boolean inherited, Path meeting, JsonNode source) {
+    int sockets, long heldBytes, int heldJobs, JsonNode known, SettingsMapping settings, boolean inherited, Path meeting, JsonNode source) {
 }
--- a/src/main/java/hookweir/config/ConfigReader.java
+++ b/node/src/main/java/hookweir/config/ConfigReader.java
@@ -17,6 +17,12 @@
 public final class ConfigReader {
     private static final int DEFAULT_SOCKETS = 1024;
     private static final int LEAST_SOCKETS = 64;
+    /** One body of the largest size must fit into what jobs may take. */
+    private static final int LEAST_HELD_BYTES = 256 * 1024;
+    private static final int LEAST_HELD_JOBS = 16;
+    private static final double HELD_SHARE_OF_HEAP = 0.3;
+    /** What a job takes beside its body: its exchange, the module's own, its hop and its link. */
+    private static final int BYTES_A_JOB = 4096;
 
     private ConfigReader() {
     }
@@ -122,7 +128,8 @@
             listen,
             admin.isEmpty() ? null : address("admin_addr", admin),
             address("discovery", text(root, "discovery", env, "RELAY_DISCOVERY", "")),
-            seed(root), sockets(root), known.isObject() ? known : null, settings,
+            seed(root), sockets(root), held(root, "held_bytes", LEAST_HELD_BYTES, OwnLimits.heapBytes() * HELD_SHARE_OF_HEAP),
+            (int) held(root, "held_jobs", LEAST_HELD_JOBS, OwnLimits.heapBytes() * HELD_SHARE_OF_HEAP / BYTES_A_JOB), known.isObject() ? known : null, settings,
             inherited(env), inherited(env) ? meeting(env, listen) : null, root);
     }
 
@@ -144,15 +151,21 @@
         return near.toString().length() < name.toString().length() ? near : name;
     }
 
+    /** What the system lets the process hold counts, however much more it was promised. */
     private static int sockets(JsonNode root) throws BadSetting {
-        JsonNode n = root.path("limits").path("sockets");
+        long told = held(root, "sockets", LEAST_SOCKETS, DEFAULT_SOCKETS);
+        return (int) Math.max(LEAST_SOCKETS, Math.min(told, OwnLimits.descriptors()));
+    }
+
+    private static long held(JsonNode root, String key, int least, double otherwise) throws BadSetting {
+        JsonNode n = root.path("limits").path(key);
         if (n.isMissingNode() || n.isNull()) {
-            return DEFAULT_SOCKETS;
+            return (long) Math.max(least, otherwise);
         }
-        if (!n.isNumber() || n.asInt() < LEAST_SOCKETS) {
-            throw new BadSetting("limits.sockets", "must be a number of at least " + LEAST_SOCKETS);
+        if (!n.isNumber() || n.asLong() < least || n.asLong() > Integer.MAX_VALUE) {
+            throw new BadSetting("limits." + key, "must be a number of at least " + least);
         }
-        return n.asInt();
+        return n.asLong();
     }
 
     private static long seed(JsonNode root) throws BadSetting {
--- a/src/main/java/hookweir/net/Hop.java
+++ b/node/src/main/java/hookweir/net/Hop.java
@@ -4,7 +4,7 @@
 import hookweir.Contract.Report;
 import hookweir.net.egress.Egress;
 import hookweir.net.egress.EgressTarget;
-import org.glassfish.grizzly.http.HttpRequestPacket;
+import hookweir.timer.TimerWheel;
 
 /**
  * One attempt: from {@link SocketHost#send} to its one outcome. Owns the link that it is sent on until the
@@ -32,7 +32,9 @@
     private final long startUs;
     private Stage stage = Stage.DIALLING;
     private Link link;
-    private Loop.Timer limit;
+    private TimerWheel.Timer limit;
+    /** The wait for a 202, then for the end of an answer that nobody needs. */
+    private TimerWheel.Timer patience;
 
     Hop(SocketHost host, Egress egress, Exchange exchange, int workerId, EgressTarget target, int number,
             long startUs) {
@@ -58,7 +60,6 @@
 
     /** Ends it before anything of it left: it went to no target. */
     void never(Outcome outcome) {
-        limit = host.loop().after(0, () -> { });
         over(outcome, null, null);
     }
 
@@ -88,16 +89,11 @@
         var from = exchange.from;
         var h = from.headers();
         long leftMs = Math.max(1, (exchange.request.giveUpAtUs - host.loop().nowUs()) / 1000);
-        HttpRequestPacket.Builder head = Link.head(from.method(), from.path(), from.query(), target.address())
-            .header("Req-Id", h.id()).header("Req-Kind", h.kind()).header("Req-Deadline-Ms", Long.toString(leftMs))
-            .contentLength(exchange.body.remaining());
-        if (h.idempotencyKey() != null) {
-            head.header("Idempotency-Key", h.idempotencyKey());
-        }
-        if (h.contentType() != null) {
-            head.header("Content-Type", h.contentType());
-        }
-        up.call(head.build(), host.copy(exchange.body), this);
+        Message head = up.head(from.method(), from.path(), from.query(), target.host())
+            .header("Req-Id", h.id()).header("Req-Kind", h.kind()).add("Req-Deadline-Ms: ").add(leftMs).line()
+            .header("Idempotency-Key", h.idempotencyKey()).header("Content-Type", h.contentType())
+            .add("Content-Length: ").add(from.body().length).line();
+        up.call(head, from.body(), this);
     }
 
     @Override
@@ -107,7 +103,7 @@
             stage = Stage.SENT;
             if (host.repeatable(exchange)) {
                 // Guards against a machine that vanished or a process that hangs, while another can still do the job.
-                host.loop().after(host.takeLimitUs(), () -> {
+                wait(host.takeLimitUs(), () -> {
                     if (stage == Stage.SENT) {
                         giveUp(Outcome.TIMEOUT);
                     }
@@ -130,7 +126,7 @@
         }
         egress.used(l, false);
         egress.release(target, l, piece.keepAlive());
-        link = null;
+        letGo();
         if (!waiting || stage == Stage.TAKEN) {
             return;
         }
@@ -145,7 +141,7 @@
     public void down(Link l) {
         egress.used(l, true);
         egress.end(l);
-        link = null;
+        letGo();
         if (stage == Stage.DIALLING || stage == Stage.SENDING) {
             over(Outcome.CONNECT_FAILED, null, null);
         } else if (stage == Stage.SENT) {
@@ -163,14 +159,29 @@
 
     /** An answer that nobody needs any more is still read for the link's sake, but not for ever. */
     private void endLater(Link kept) {
-        host.loop().after(PATIENCE_US, () -> {
+        wait(PATIENCE_US, () -> {
             if (link == kept) {
-                link = null;
+                letGo();
                 egress.end(kept);
             }
         });
     }
 
+    private void wait(long us, Runnable then) {
+        if (patience != null) {
+            patience.cancel();
+        }
+        patience = host.loop().after(us, then);
+    }
+
+    /** The link is no longer this hop's, and so is nothing to wait for on it. */
+    private void letGo() {
+        link = null;
+        if (patience != null) {
+            patience.cancel();
+        }
+    }
+
     /** Stops waiting for it, and lets the worker know. */
     void giveUp(Outcome outcome) {
         switch (stage) {
@@ -180,7 +191,7 @@
             }
             case SENDING, SENT -> {
                 egress.end(link);
-                link = null;
+                letGo();
                 over(outcome, null, null);
             }
             case TAKEN -> {
@@ -201,7 +212,9 @@
             return;
         }
         stage = Stage.OVER;
-        limit.cancel();
+        if (limit != null) {
+            limit.cancel();
+        }
         host.hopOver(this, outcome, host.loop().nowUs() - startUs, report, result);
     }
 }
--- a/src/main/java/hookweir/net/Link.java
+++ b/node/src/main/java/hookweir/net/Link.java
@@ -1,15 +1,13 @@
 package hookweir.net;
 
-import java.net.InetSocketAddress;
+import hookweir.timer.TimerWheel;
+import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.glassfish.grizzly.Buffer;
-import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.WriteResult;
-import org.glassfish.grizzly.http.HttpContent;
-import org.glassfish.grizzly.http.HttpRequestPacket;
 
 /**
  * One outgoing connection, which carries one call at a time. Its state belongs to the {@link Loop}; its
@@ -47,7 +45,9 @@
     }
 
     private final Loop loop;
-    private final Loop.Timer dialLimit;
+    private final Transport transport;
+    private final AnswerReader reader = new AnswerReader();
+    private final TimerWheel.Timer dialLimit;
     private Handler handler;
     private Connection<?> connection;
     private boolean isUp;
@@ -64,8 +64,9 @@
     /** Set by its pool: it carried a call before the present one. */
     public boolean kept;
 
-    Link(Loop loop, long dialLimitUs, Handler handler) {
+    Link(Loop loop, Transport transport, long dialLimitUs, Handler handler) {
         this.loop = loop;
+        this.transport = transport;
         this.handler = handler;
         dialLimit = loop.after(dialLimitUs, this::dialLate);
     }
@@ -115,15 +116,25 @@
         handler.down(this);
     }
 
-    /** From the selector: a piece of the answer. */
-    void received(Piece piece, boolean framed) {
-        loop.post(() -> {
-            if (writing) {
-                early.add(() -> take(piece, framed));
-            } else {
-                take(piece, framed);
+    /** From the selector: so many bytes came; false where they make no answer. */
+    boolean read(byte[] bytes, int n) {
+        int at = 0;
+        while (at < n) {
+            at = reader.feed(bytes, at, n);
+            if (reader.fault() != 0) {
+                return false;
             }
-        });
+            Piece piece = reader.piece();
+            if (piece != null) {
+                boolean framed = reader.framed();
+                if (writing) {
+                    early.add(() -> take(piece, framed));
+                } else {
+                    take(piece, framed);
+                }
+            }
+        }
+        return true;
     }
 
     private void take(Piece piece, boolean framed) {
@@ -140,16 +151,17 @@
         handler.piece(this, piece);
     }
 
-    /** Starts a call; the body, which may be empty, is given away. */
-    public void call(HttpRequestPacket head, Buffer body, Handler newHandler) {
+    /** Starts a call: a head as {@link #head} began it, which is ended here, and a body. */
+    public void call(Message head, byte[] body, Handler newHandler) {
         handler = newHandler;
         calling = true;
         writing = true;
         unframed = null;
-        HttpContent whole = HttpContent.builder(head).content(body).last(true).build();
-        CompletionHandler<WriteResult<HttpContent, java.net.SocketAddress>> done = new EmptyCompletionHandler<>() {
+        @SuppressWarnings("unchecked")
+        Connection<SocketAddress> c = (Connection<SocketAddress>) connection;
+        c.write(transport.pooled(head.line(), body), new EmptyCompletionHandler<WriteResult<Buffer, SocketAddress>>() {
             @Override
-            public void completed(WriteResult<HttpContent, java.net.SocketAddress> result) {
+            public void completed(WriteResult<Buffer, SocketAddress> result) {
                 loop.post(() -> wrote(true));
             }
 
@@ -157,10 +169,7 @@
             public void failed(Throwable t) {
                 loop.post(() -> wrote(false));
             }
-        };
-        @SuppressWarnings("unchecked")
-        Connection<java.net.SocketAddress> c = (Connection<java.net.SocketAddress>) connection;
-        c.write(whole, done);
+        });
     }
 
     private void wrote(boolean whole) {
@@ -195,11 +204,17 @@
         handler = newHandler;
     }
 
-    /** The head of a call. */
-    public static HttpRequestPacket.Builder head(String method, String path, String query, InetSocketAddress to) {
-        HttpRequestPacket.Builder b = HttpRequestPacket.builder().method(method).uri(path)
-            .protocol(org.glassfish.grizzly.http.Protocol.HTTP_1_1)
-            .header("Host", to.getAddress().getHostAddress() + ":" + to.getPort());
-        return query == null ? b : b.query(query);
+    /** An address as a Host header has it. */
+    public static String host(java.net.InetSocketAddress to) {
+        return to.getAddress().getHostAddress() + ":" + to.getPort();
+    }
+
+    /** The head of a call, but for its end. */
+    public Message head(String method, String path, String query, String host) {
+        Message m = transport.message().add(method).add(" ").add(path);
+        if (query != null) {
+            m.add("?").add(query);
+        }
+        return m.add(" HTTP/1.1").line().header("Host", host);
     }
 }
--- a/src/main/java/hookweir/net/Node.java
+++ b/node/src/main/java/hookweir/net/Node.java
@@ -13,11 +13,14 @@
 
 /** One scheduler: puts the transport, the loop and the host together, and ends them in order. */
 public final class Node {
+    /** The status of a process that an error ended, as the JVM's own for a lack of memory. */
+    static final int DIED = 3;
+
     /** The last one taken over. Guarded by this once serving. */
     private Config config;
     private final Invariants invariants = new Invariants();
     private final Loop loop = new Loop(invariants);
-    private final Transport transport = new Transport(invariants);
+    private final Transport transport = new Transport(invariants, loop);
     private final Standing standing = new Standing();
     private final Figures figures = new Figures();
     private final SocketHost host;
@@ -47,6 +50,7 @@
 
     /** Serves until SIGTERM and all that is held then is finished; the exit status. */
     public int serve() throws IOException {
+        loop.onDeath(Node::die);
         HangUp.handle(() -> reload(System.getenv()));
         int port;
         try {
@@ -66,6 +70,15 @@
         return 0;
     }
 
+    /** Nothing of this state can be trusted: says so, and ends without the hooks that would. */
+    private static void die(Error e) {
+        try {
+            Log.line("hookweir: the loop ended by " + e + ", leaving at once with status " + DIED);
+        } finally {
+            Runtime.getRuntime().halt(DIED);
+        }
+    }
+
     /** Binds and seeds; the port that it got. {@link #run} is to follow. */
     public int start() throws IOException {
         transport.start();
--- a/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -20,6 +20,8 @@
 import hookweir.net.ingress.IngressRequest;
 import hookweir.net.upgrade.Succession;
 import hookweir.net.upgrade.Wire;
+import hookweir.room.Room;
+import hookweir.timer.TimerWheel;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -31,8 +33,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.glassfish.grizzly.Buffer;
-import org.glassfish.grizzly.memory.Buffers;
 
 /**
  * The module's host, on the sockets. Owns the module and every exchange; all of it runs on the {@link Loop}.
@@ -59,7 +59,6 @@
     private static final long EXIT_POLL_US = 50_000;
 
     private final Loop loop;
-    private final Transport transport;
     private final Invariants invariants;
     private final Standing standing;
     private final Figures figures;
@@ -68,11 +67,14 @@
     private List<String> classNames;
     private long probeLimitUs;
     private final Contract.Dispatcher module;
+    private final Room room;
     private final Ingress ingress;
     private final Egress egress;
     private final Discovery discovery;
     private final Succession succession;
     private final int sockets;
+    private long heldBytes;
+    private int heldJobs;
     private final ListUpdate.Parser listParser;
     private ExchangeParser exchangeParser;
     private LoadReport loadReport;
@@ -97,14 +99,16 @@
     public SocketHost(Config config, Loop loop, Transport transport, Invariants invariants, Standing standing,
             Figures figures) {
         this.loop = loop;
-        this.transport = transport;
         this.invariants = invariants;
         this.standing = standing;
         this.figures = figures;
+        room = new Room(config.heldBytes(), config.heldJobs());
         adopt(config.settings());
         sockets = config.sockets();
+        heldBytes = config.heldBytes();
+        heldJobs = config.heldJobs();
         Dialer dialer = new Dialer(loop, transport);
-        ingress = new Ingress(loop, transport, invariants, LEAST_SHARE, this);
+        ingress = new Ingress(loop, transport, invariants, room, LEAST_SHARE, this);
         egress = new Egress(loop, dialer, invariants, config.settings().dialTimeoutUs, config.settings().connIdleUs, LEAST_SHARE);
         listParser = new ListUpdate.Parser(config.settings().zones, config.settings().kinds, invariants);
         discovery = new Discovery(loop, dialer, config.discovery(), listParser, invariants, this);
@@ -182,9 +186,11 @@
         }
     }
 
-    /** All processes of a scheduler share one limit on descriptors. */
+    /** All processes of a scheduler share one machine: its descriptors and its memory. */
     private void share() {
-        int usable = Math.max(LEAST_SHARE, sockets / (1 + succession.neighbours()) - OWN_DESCRIPTORS);
+        int processes = 1 + succession.neighbours();
+        room.limit(heldBytes / processes, heldJobs / processes);
+        int usable = Math.max(LEAST_SHARE, sockets / processes - OWN_DESCRIPTORS);
         int links = (int) (usable * EGRESS_SHARE);
         egress.cap(links);
         ingress.cap(usable - links);
@@ -245,6 +251,7 @@
         classNames = mapped.classNames;
         figures.classes(List.copyOf(mapped.classNumbers.keySet()));
         probeLimitUs = PROBE_DIAL_LIMITS * mapped.dialTimeoutUs;
+        room.classes(settings.classes);
         exchangeParser = new ExchangeParser(mapped.classNumbers, settings.classes);
         loadReport = new LoadReport(mapped.reportFields);
     }
@@ -255,6 +262,9 @@
      */
     void reload(Config next) {
         adopt(next.settings());
+        heldBytes = next.heldBytes();
+        heldJobs = next.heldJobs();
+        share();
         egress.limits(next.settings().dialTimeoutUs, next.settings().connIdleUs);
         module.retune(loop.nowUs(), settings);
         discovery.move(next.discovery());
@@ -266,8 +276,37 @@
 
     // ---- requests ----
 
+    @Override
+    public int numberOf(String kind) {
+        return exchangeParser.numberOf(kind);
+    }
+
+    @Override
+    public void turnedAway(String kind) {
+        int number = numberOf(kind);
+        if (number >= 0) {
+            figures.turnedAway(classNames.get(number));
+        }
+    }
+
+    @Override
+    public String comeBack() {
+        return settings.comeBackAdvice ? seconds(settings.maxComeBackUs) : null;
+    }
+
+    private static String seconds(long us) {
+        return us <= 0 ? null : String.format(Locale.ROOT, "%.3f", us / 1e6);
+    }
+
     @Override
     public void request(IngressConnection from, IngressRequest request) {
+        if (!serve(from, request)) {
+            ingress.release(request);
+        }
+    }
+
+    /** True where it is held as an exchange. */
+    private boolean serve(IngressConnection from, IngressRequest request) {
         if (request.path().equals("/callback")) {
             ingress.carriesCallbacks(from);
             if (request.method().equals("POST")) {
@@ -297,27 +336,34 @@
         } else if (!request.method().equals("POST")) {
             ingress.answer(from, 405, null, NOTHING);
         } else {
-            take(from, request);
+            return take(from, request);
         }
+        return false;
     }
 
-    private void take(IngressConnection from, IngressRequest request) {
+    private boolean take(IngressConnection from, IngressRequest request) {
         Contract.Request r;
         try {
             r = exchangeParser.parse(request.headers(), request.path(), ++lastId, loop.nowUs());
         } catch (ExchangeParser.BadRequest e) {
             invariants.count("ingress bad request");
             ingress.answer(from, 400, null, e.getMessage().getBytes(java.nio.charset.StandardCharsets.US_ASCII));
-            return;
+            return false;
         }
         if (byName.containsKey(request.headers().id()) || !taken.add(request.headers().id())) {
             // An id names one job to workers, which may run it still when its answer is given: two of one id could
             // not be told apart.
             invariants.count("ingress id twice");
             ingress.answer(from, 409, null, NOTHING);
-            return;
+            return false;
+        }
+        if (room.job(r.requestClass) == Room.Verdict.REFUSE) {
+            invariants.count("exchanges refused for room");
+            figures.turnedAway(classNames.get(r.requestClass));
+            ingress.answer(from, 429, comeBack(), NOTHING);
+            return false;
         }
-        Exchange x = new Exchange(r, request, from, transport.pooled(request.body()));
+        Exchange x = new Exchange(r, request, from);
         exchanges.put(r.id, x);
         byName.put(request.headers().id(), x);
         invariants.count("exchanges");
@@ -330,6 +376,7 @@
             settle(x);
         });
         module.request(loop.nowUs(), r);
+        return true;
     }
 
     /** The one place that gives a final answer. */
@@ -346,7 +393,7 @@
 
     /** Refuses an exchange: trying again is harmless, best after so long. */
     private void shed(Exchange x, long comeBackUs) {
-        close(x, 429, comeBackUs <= 0 ? null : String.format(Locale.ROOT, "%.3f", comeBackUs / 1e6), NOTHING);
+        close(x, 429, seconds(comeBackUs), NOTHING);
         settle(x);
     }
 
@@ -354,7 +401,11 @@
     private void settle(Exchange x) {
         if (x.closed && x.out() == null && exchanges.remove(x.request.id, x)) {
             byName.remove(x.from.headers().id(), x);
-            x.body.tryDispose();
+            if (x.guard != null) {
+                x.guard.cancel();
+            }
+            room.jobGone();
+            ingress.release(x.from);
         }
     }
 
@@ -420,14 +471,6 @@
         return loop;
     }
 
-    /** A pooled copy of a held body, to be given away. */
-    Buffer copy(Buffer held) {
-        byte[] bytes = new byte[held.remaining()];
-        held.get(bytes, 0, bytes.length);
-        held.position(held.position() - bytes.length);
-        return transport.pooled(bytes);
-    }
-
     /** Tells a worker that a hop that it took is given up; runs the task once that is on its way, or can't be. */
     void delete(Hop hop, Runnable after) {
         new Errand(hop.target, "DELETE", "/jobs/" + hop.exchange.from.headers().id()) {
@@ -450,7 +493,8 @@
         private final String method;
         private final String path;
         private final java.io.ByteArrayOutputStream body = new java.io.ByteArrayOutputStream();
-        private Loop.Timer limit;
+        private TimerWheel.Timer limit;
+        private TimerWheel.Timer patience;
         private boolean over;
 
         Errand(EgressTarget target, String method, String path) {
@@ -485,9 +529,9 @@
 
         @Override
         public void up(Link l) {
-            l.call(Link.head(method, path, null, target.address()).build(), Buffers.EMPTY_BUFFER, this);
+            l.call(l.head(method, path, null, target.host()), NOTHING, this);
             // An answer later than the limit is read to keep the link, but not for ever.
-            loop.after(4 * probeLimitUs, () -> {
+            patience = loop.after(4 * probeLimitUs, () -> {
                 if (!over || !done) {
                     end(Outcome.TIMEOUT, null);
                     egress.end(l);
@@ -511,6 +555,7 @@
             }
             if (piece.last()) {
                 done = true;
+                patience.cancel();
                 egress.used(l, false);
                 egress.release(target, l, piece.keepAlive());
                 end(piece.status() == 200 ? Outcome.OK : piece.declined() ? Outcome.FULL : Outcome.ERROR, piece);
@@ -520,6 +565,9 @@
         @Override
         public void down(Link l) {
             boolean kept = l.kept;
+            if (patience != null) {
+                patience.cancel();
+            }
             egress.used(l, true);
             egress.end(l);
             if (kept && !over) {
@@ -606,6 +654,14 @@
         loop.after(delayUs, () -> module.timer(loop.nowUs(), token));
     }
 
+    @Override
+    public void guard(int requestId, long token, long delayUs) {
+        Exchange x = exchanges.get(requestId);
+        if (invariants.hold(x != null, "guard of an unknown exchange")) {
+            x.guard = loop.after(delayUs, () -> module.timer(loop.nowUs(), token));
+        }
+    }
+
     @Override
     public void watchList(boolean on) {
         discovery.watch(on);
@@ -655,6 +711,8 @@
 
     private void exitWhenIdle(long since) {
         if (exchanges.isEmpty() && ingress.quiet()) {
+            // Whoever comes now waits in an inherited socket for the process that follows.
+            ingress.accepts(false);
             Log.line("idle " + (loop.nowUs() - since) / 1000 + " ms after the signal, leaving; " + invariants);
             loop.stop();
         } else {
--- a/src/main/java/hookweir/net/Transport.java
+++ b/node/src/main/java/hookweir/net/Transport.java
@@ -14,8 +14,8 @@
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 
 /**
- * Owns the one Grizzly transport, its single selector thread and the buffer pool. The selector only parses and
- * posts to the {@link Loop}; filters run on it (same-thread strategy), so there is no further thread.
+ * Owns the one Grizzly transport, its single selector thread and the buffer pool. Filters run on that thread (same-thread
+ * strategy) and only parse and post to the {@link Loop}, which takes its turn on it too: there is no further thread.
  */
 public final class Transport {
     /** The one size of all buffers; a longer message is a chain of these. */
@@ -30,13 +30,16 @@
 
     private final MemoryManager<? extends Buffer> pool;
     private final TCPNIOTransport tcp;
+    private final Message message = new Message();
+    private byte[] scratch = new byte[BUFFER_BYTES];
 
-    public Transport(Invariants invariants) {
+    public Transport(Invariants invariants, Loop loop) {
         pool = pool(invariants);
         // Peers may reset or garble any connection at any time; that is counted here, not logged there.
         GRIZZLY.setLevel(Level.SEVERE);
         tcp = TCPNIOTransportBuilder.newInstance()
             .setName("hookweir")
+            .setSelectorHandler(new LoopSelector(loop))
             .setIOStrategy(SameThreadIOStrategy.getInstance())
             .setSelectorRunnersCount(1)
             .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig().copy().setPoolName("selector").setCorePoolSize(1)
@@ -88,11 +91,27 @@
         return b;
     }
 
-    /** The bytes of a received buffer, which goes back to the pool. */
-    public static byte[] take(Buffer b) {
-        byte[] bytes = new byte[b.remaining()];
-        b.get(bytes);
+    /** A message to be built, from its start; one at a time, on the selector's thread. */
+    public Message message() {
+        return message.begin();
+    }
+
+    /** A pooled copy of the message that was built and of this body behind it, to be written. */
+    public Buffer pooled(Message head, byte[] body) {
+        Buffer b = pool.allocate(head.length() + body.length);
+        b.put(head.bytes(), 0, head.length()).put(body).flip();
+        b.allowBufferDispose(true);
+        return b;
+    }
+
+    /** Copies a received buffer, which goes back to the pool, to an array that the next call uses again. */
+    public byte[] received(Buffer b) {
+        int n = b.remaining();
+        if (n > scratch.length) {
+            scratch = new byte[n];
+        }
+        b.get(scratch, 0, n);
         b.tryDispose();
-        return bytes;
+        return scratch;
     }
 }
--- a/src/main/java/hookweir/net/admin/AdminListener.java
+++ b/node/src/main/java/hookweir/net/admin/AdminListener.java
@@ -1,9 +1,12 @@
 package hookweir.net.admin;
 
-import hookweir.net.ChunkedBody;
 import hookweir.net.Invariants;
 import hookweir.net.Loop;
+import hookweir.net.Message;
 import hookweir.net.Transport;
+import hookweir.net.ingress.Framing;
+import hookweir.net.ingress.IngressRequest;
+import hookweir.net.ingress.StatusLine;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -12,32 +15,30 @@
 import java.util.Deque;
 import java.util.Map;
 import java.util.function.Supplier;
+import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CloseListener;
 import org.glassfish.grizzly.CloseType;
 import org.glassfish.grizzly.Closeable;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.filterchain.TransportFilter;
-import org.glassfish.grizzly.http.HttpContent;
-import org.glassfish.grizzly.http.HttpRequestPacket;
-import org.glassfish.grizzly.http.HttpResponsePacket;
-import org.glassfish.grizzly.http.HttpServerFilter;
-import org.glassfish.grizzly.http.KeepAlive;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 
 /**
- * The operators' address: one call a connection, answered on the selector from state that any thread may read, so
- * that no answer waits for the {@link Loop}. Owns its connections, few and outside the clients' cap.
+ * The operators' address: one call a connection, answered in a round of I/O, so that no answer waits for all that
+ * the {@link Loop} has to do. Owns its connections, few and outside the clients' cap.
  */
 public final class AdminListener {
     /** Connections at most: descriptors reserved for operators. A further one ends the oldest that has no answer yet. */
     public static final int MOST_CONNECTIONS = 16;
-    private static final int MOST_HEADER_BYTES = 4096;
+    private static final Attribute<Framing> CALL = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("hookweir.admin");
     /** Silent and half callers are sent away after this; until then they hold up nobody but each other. */
     private static final long SILENT_US = 8_000_000;
     private static final String PLAIN = "text/plain; version=0.0.4; charset=utf-8";
@@ -80,12 +81,9 @@
     }
 
     /** Binds the address; the port that it got. */
-    @SuppressWarnings("deprecation") // no other constructor of the codec takes a limit on heads
     public int listen(InetSocketAddress at) throws IOException {
-        HttpServerFilter codec = ChunkedBody.in(new HttpServerFilter(false, MOST_HEADER_BYTES, new KeepAlive(), null));
-        codec.setAllowPayloadForUndefinedHttpMethods(true);
         var bound = TCPNIOBindingHandler.builder(transport.tcp()).processor(FilterChainBuilder.stateless()
-            .add(new TransportFilter()).add(new DoorFilter()).add(codec).add(new CallFilter()).build()).build().bind(at);
+            .add(new TransportFilter()).add(new DoorFilter()).add(new CallFilter()).build()).build().bind(at);
         return ((InetSocketAddress) bound.getLocalAddress()).getPort();
     }
 
@@ -119,50 +117,54 @@
     private final class CallFilter extends BaseFilter {
         @Override
         public NextAction handleRead(FilterChainContext ctx) {
-            HttpContent content = ctx.getMessage();
-            HttpRequestPacket packet = (HttpRequestPacket) content.getHttpHeader();
-            boolean last = content.isLast();
-            boolean broken = HttpContent.isBroken(content);
-            content.recycle();
-            if (broken) {
-                ctx.getConnection().closeSilently();
-            } else if (last) {
-                answer(ctx.getConnection(), packet);
+            Connection<?> c = ctx.getConnection();
+            Buffer in = ctx.getMessage();
+            int n = in.remaining();
+            byte[] bytes = transport.received(in);
+            Framing framing = CALL.get(c);
+            if (framing == null) {
+                framing = new Framing(false);
+                CALL.set(c, framing);
+            }
+            for (int at = 0; at < n && framing.fault() == 0;) {
+                at = framing.feed(bytes, at, n);
+                if (framing.announced() > 0) {
+                    framing.admit(); // a handful of connections, each with one call
+                }
+                if (framing.whole()) {
+                    answer(c, framing.take());
+                    return ctx.getStopAction();
+                }
+            }
+            if (framing.fault() != 0) {
+                c.closeSilently();
             }
             return ctx.getStopAction();
         }
 
-        private void answer(Connection<?> c, HttpRequestPacket packet) {
-            Call call = calls.get(packet.getRequestURI());
+        private void answer(Connection<?> c, IngressRequest request) {
+            Call call = calls.get(request.path());
             Answer answer = call == null ? new Answer(404, "no such call\n")
-                : !call.method.equals(packet.getMethod().getMethodString()) ? new Answer(405, "wants " + call.method + "\n")
+                : !call.method.equals(request.method()) ? new Answer(405, "wants " + call.method + "\n")
                 : call.answer.get();
             invariants.count("admin answers " + answer.status);
             byte[] text = answer.text.getBytes(StandardCharsets.UTF_8);
-            HttpResponsePacket head = packet.getResponse();
-            head.setStatus(answer.status);
-            head.setContentLength(text.length);
-            head.setHeader("Content-Type", PLAIN);
-            head.setHeader("Connection", "close");
-            if (answer.status == 405) {
-                head.setHeader("Allow", call.method);
-            }
+            Message head = transport.message().add(StatusLine.of(answer.status)).add("Content-Length: ").add(text.length).line()
+                .header("Content-Type", PLAIN).header("Connection", "close")
+                .header("Allow", answer.status == 405 ? call.method : null).line();
             @SuppressWarnings("unchecked")
             Connection<SocketAddress> out = (Connection<SocketAddress>) c;
-            out.write(HttpContent.builder(head).content(transport.pooled(text)).last(true).build(),
-                new EmptyCompletionHandler<WriteResult<HttpContent, SocketAddress>>() {
-                    @Override
-                    public void completed(WriteResult<HttpContent, SocketAddress> result) {
-                        c.closeSilently();
-                        // Gives its buffer back to the pool; not here, as the codec is still at work on it.
-                        loop.post(packet::recycle);
-                    }
+            out.write(transport.pooled(head, text), new EmptyCompletionHandler<WriteResult<Buffer, SocketAddress>>() {
+                @Override
+                public void completed(WriteResult<Buffer, SocketAddress> result) {
+                    c.closeSilently();
+                }
 
-                    @Override
-                    public void failed(Throwable t) {
-                        c.closeSilently();
-                    }
-                });
+                @Override
+                public void failed(Throwable t) {
+                    c.closeSilently();
+                }
+            });
         }
     }
 }
--- a/src/main/java/hookweir/net/admin/Figures.java
+++ b/node/src/main/java/hookweir/net/admin/Figures.java
@@ -56,6 +56,11 @@
         of(type).get(end).increment();
     }
 
+    /** A job was refused before it was taken. */
+    public void turnedAway(String type) {
+        of(type).get(End.OVERLOAD).increment();
+    }
+
     /** A job that was taken ended as nobody waits for its answer any more. */
     public void abandoned() {
         concurrent.decrementAndGet();
--- a/src/main/java/hookweir/net/discovery/Discovery.java
+++ b/node/src/main/java/hookweir/net/discovery/Discovery.java
@@ -4,12 +4,12 @@
 import hookweir.net.Invariants;
 import hookweir.net.Link;
 import hookweir.net.Loop;
+import hookweir.timer.TimerWheel;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Set;
-import org.glassfish.grizzly.memory.Buffers;
 
 /** The list's side: one watch at most, and single fetches, each on a link of its own. Belongs to the loop. */
 public final class Discovery {
@@ -115,7 +115,7 @@
         private final Lines lines = new Lines(MOST_LINE_BYTES, Discovery.this::line);
         private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
         private Link link;
-        private Loop.Timer silence;
+        private TimerWheel.Timer silence;
         private boolean over;
 
         Call(String query, boolean watches) {
@@ -155,7 +155,7 @@
 
         @Override
         public void up(Link l) {
-            l.call(Link.head("GET", "/v1/servers", query, to).build(), Buffers.EMPTY_BUFFER, this);
+            l.call(l.head("GET", "/v1/servers", query, Link.host(to)), new byte[0], this);
         }
 
         @Override
--- a/src/main/java/hookweir/net/egress/EgressTarget.java
+++ b/node/src/main/java/hookweir/net/egress/EgressTarget.java
@@ -14,6 +14,7 @@
     public final int id;
     final Deque<Link> idle = new ArrayDeque<>();
     private InetSocketAddress address;
+    private String host;
     private Contract.State state;
 
     EgressTarget(String name, int id) {
@@ -26,6 +27,11 @@
         return address;
     }
 
+    /** Where it listens, as a call's Host header has it. */
+    public String host() {
+        return host;
+    }
+
     /** New work may go to it, as far as this scheduler was told. */
     public boolean ready() {
         return state == Contract.State.READY;
@@ -34,6 +40,7 @@
     void update(InetSocketAddress newAddress, Contract.State newState) {
         if (!newAddress.equals(address) || newState == Contract.State.GONE) {
             dropIdle();
+            host = Link.host(newAddress);
         }
         address = newAddress;
         state = newState;
--- a/src/main/java/hookweir/net/ingress/ExchangeParser.java
+++ b/node/src/main/java/hookweir/net/ingress/ExchangeParser.java
@@ -35,8 +35,8 @@
         if (h.id() == null || h.id().isEmpty() || h.id().length() > MOST_ID_CHARS || !h.id().matches("[0-9A-Za-z._~-]+")) {
             throw new BadRequest("Req-Id is missing or malformed");
         }
-        Integer number = h.kind() == null ? null : classes.get(ConfigReader.wireWord(h.kind()));
-        if (number == null) {
+        int number = numberOf(h.kind());
+        if (number < 0) {
             throw new BadRequest("Req-Kind is missing or unknown");
         }
         r.requestClass = number;
@@ -53,6 +53,12 @@
         return r;
     }
 
+    /** The number of a class as clients name it, or -1. */
+    public int numberOf(String kind) {
+        Integer number = kind == null ? null : classes.get(ConfigReader.wireWord(kind));
+        return number == null ? -1 : number;
+    }
+
     private static void extras(Contract.Request r, String text) throws BadRequest {
         for (String pair : text.split(",")) {
             int eq = pair.indexOf('=');
--- a/src/main/java/hookweir/net/ingress/Ingress.java
+++ b/node/src/main/java/hookweir/net/ingress/Ingress.java
@@ -1,11 +1,11 @@
 package hookweir.net.ingress;
 
-import hookweir.net.ChunkedBody;
 import hookweir.net.Invariants;
 import hookweir.net.Log;
 import hookweir.net.Loop;
+import hookweir.net.Message;
 import hookweir.net.Transport;
-import java.io.ByteArrayOutputStream;
+import hookweir.room.Room;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -13,10 +13,10 @@
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CloseListener;
 import org.glassfish.grizzly.CloseType;
@@ -32,12 +32,6 @@
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.filterchain.TransportFilter;
-import org.glassfish.grizzly.http.HttpContent;
-import org.glassfish.grizzly.http.HttpRequestPacket;
-import org.glassfish.grizzly.http.HttpResponsePacket;
-import org.glassfish.grizzly.http.HttpServerFilter;
-import org.glassfish.grizzly.http.KeepAlive;
-import org.glassfish.grizzly.http.util.HttpStatus;
 import org.glassfish.grizzly.nio.NIOConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
@@ -50,7 +44,17 @@
 public final class Ingress {
     /** Takes whole requests, on the loop. Each is to be answered once. */
     public interface Handler {
+        /** The request's body counts as held until {@link Ingress#release}. */
         void request(IngressConnection from, IngressRequest request);
+
+        /** The number of a class as clients name it, or -1. */
+        int numberOf(String kind);
+
+        /** A job of this class, as named, found no room before its body was read; its client is told. */
+        void turnedAway(String kind);
+
+        /** When to come back, for those turned away: a Retry-After, or null. */
+        String comeBack();
     }
 
     private static final Attribute<IngressConnection> HERE =
@@ -68,8 +72,14 @@
     /** So much is still read and dropped then, lest a reset overtake the error; a sender of more is left to stall. */
     private static final int MOST_DROPPED = 256 * 1024;
     private static final int MOST_AHEAD = 8;
-    /** Connections accepted but not yet known to the loop may go over the cap by so many, then the door is shut. */
-    private static final int UNSEEN = 8;
+    /** A job's body waits so long for room; good clients still have time to go elsewhere then. */
+    private static final long WAIT_US = 500_000;
+    /** A client that does not read its answer may be cut off after so long, while results lack room. */
+    private static final long UNREAD_US = 3_000_000;
+    private static final byte[] NOTHING = new byte[0];
+    private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final String CALLBACK = "/callback";
+    private static final int NO_CONTENT = 204;
     private static final int BAD = 400;
     private static final int TIMED_OUT = 408;
     private static final int SHED = 429;
@@ -81,33 +91,29 @@
     private final Loop loop;
     private final Transport transport;
     private final Invariants invariants;
+    private final Room room;
     private final Handler handler;
-    /** Read by the selector. */
-    private volatile int mostConnections;
+    private int mostConnections;
     private final Set<IngressConnection> all = new LinkedHashSet<>();
+    /** Those whose body waits for room, in order. */
+    private final Set<IngressConnection> waiting = new LinkedHashSet<>();
+    private boolean lettingIn;
     private final TCPNIOBindingHandler binding;
     private TCPNIOServerConnection listener;
-    private final AtomicInteger accepted = new AtomicInteger();
-    /** Clients are to be let in; a flood of them is not yet dealt with. Both guarded by this. */
+    /** Clients are to be let in. Guarded by this. */
     private boolean wanted = true;
-    private boolean flooded;
     private boolean sendingAway;
     private int writing;
 
-    @SuppressWarnings("deprecation") // no other constructor of the codec allows connections to be kept
-    public Ingress(Loop loop, Transport transport, Invariants invariants, int mostConnections, Handler handler) {
+    public Ingress(Loop loop, Transport transport, Invariants invariants, Room room, int mostConnections, Handler handler) {
         this.loop = loop;
         this.transport = transport;
         this.invariants = invariants;
+        this.room = room;
         this.mostConnections = mostConnections;
         this.handler = handler;
-        KeepAlive keepAlive = new KeepAlive();
-        keepAlive.setMaxRequestsCount(-1);
-        keepAlive.setIdleTimeoutInSeconds(-1);
-        HttpServerFilter codec = ChunkedBody.in(new HttpServerFilter(false, Transport.MOST_HEADER_BYTES, keepAlive, null));
-        codec.setAllowPayloadForUndefinedHttpMethods(true);
         binding = TCPNIOBindingHandler.builder(transport.tcp()).processor(FilterChainBuilder.stateless()
-            .add(new TransportFilter()).add(new FramingFilter()).add(codec).add(new RequestFilter()).build()).build();
+            .add(new TransportFilter()).add(new RequestFilter()).build()).build();
     }
 
     /** Takes the address, or the listening socket inherited as descriptor 0; the port that it got. */
@@ -137,24 +143,12 @@
         turnDoor();
     }
 
-    /**
-     * Guards the descriptor limit while the loop has not yet seen a flood of connections: they wait in the kernel until
-     * it has made room. Closing them here would hit good clients as well as the crowd.
-     */
-    private synchronized void flooded(boolean over) {
-        if (over != flooded) {
-            invariants.count(over ? "ingress door shut for a moment" : "ingress door open again");
-            flooded = over;
-            turnDoor();
-        }
-    }
-
     private void turnDoor() {
         if (listener == null) {
-            return; // clients wait in an inherited socket: a flood may come before the binding is known here
+            return; // the binding is not yet known here
         }
         try {
-            if (wanted && !flooded) {
+            if (wanted) {
                 listener.enableIOEvent(IOEvent.SERVER_ACCEPT);
             } else {
                 listener.disableIOEvent(IOEvent.SERVER_ACCEPT);
@@ -164,25 +158,15 @@
         }
     }
 
-    private void counted(int open) {
-        if (open >= mostConnections + UNSEEN) {
-            flooded(true);
-        } else if (open <= mostConnections + UNSEEN / 2) {
-            flooded(false);
-        }
-    }
-
-    /** Runs on the selector: passes on only what is framed beyond doubt, one message at a time. */
-    private final class FramingFilter extends BaseFilter {
+    /** Runs on the selector: reads requests, each as far as there is room for it. */
+    private final class RequestFilter extends BaseFilter {
         @Override
         public NextAction handleAccept(FilterChainContext ctx) {
             Connection<?> c = ctx.getConnection();
-            counted(accepted.incrementAndGet());
-            c.addCloseListener((CloseListener<Closeable, CloseType>) (closeable, type) -> counted(accepted.decrementAndGet()));
             IngressConnection here = new IngressConnection(c, loop.nowUs());
             HERE.set(c, here);
-            loop.post(() -> opened(here));
             c.addCloseListener((CloseListener<Closeable, CloseType>) (closeable, type) -> loop.post(() -> closed(here)));
+            opened(here);
             return ctx.getInvokeAction();
         }
 
@@ -190,41 +174,154 @@
         public NextAction handleRead(FilterChainContext ctx) {
             IngressConnection here = HERE.get(ctx.getConnection());
             Buffer in = ctx.getMessage();
-            if (here == null || here.deaf) {
-                drop(here, in);
+            int n = in.remaining();
+            byte[] bytes = transport.received(in);
+            if (here == null || here.closing && !here.deaf) {
                 return ctx.getStopAction();
             }
-            int end = here.framing.scan(in);
-            if (here.framing.fault() != 0) {
-                here.deaf = true;
-                here.body = null;
-                drop(here, in);
-                loop.post(() -> unreadable(here, here.framing.fault()));
-                return ctx.getStopAction();
+            if (here.rest != null) {
+                // What was read before reading paused comes first.
+                byte[] rest = here.rest;
+                here.rest = Arrays.copyOf(rest, rest.length + n);
+                System.arraycopy(bytes, 0, here.rest, rest.length, n);
+            } else {
+                loop.now(() -> read(here, bytes, 0, n));
             }
-            if (!here.framing.inside()) {
-                here.insideSinceUs = 0;
-            } else if (here.insideSinceUs == 0) {
-                here.insideSinceUs = loop.nowUs();
+            return ctx.getStopAction();
+        }
+    }
+
+    private void read(IngressConnection c, byte[] bytes, int from, int to) {
+        Framing framing = c.framing;
+        for (int at = from; at < to && !c.deaf;) {
+            at = framing.feed(bytes, at, to);
+            if (framing.announced() > 0 && framing.fault() == 0 && !admit(c)) {
+                c.rest = Arrays.copyOfRange(bytes, at, to);
+                return;
             }
-            return ctx.getInvokeAction(here.framing.whole() && end < in.limit() ? in.split(end) : null);
+            if (framing.fault() != 0) {
+                drop(c, to - at);
+                unreadable(c, framing.fault());
+                return;
+            }
+            if (framing.whole()) {
+                IngressRequest request = framing.take();
+                count(c, request.body().length - c.reserved);
+                c.reserved = 0;
+                arrived(c, request);
+            }
+        }
+        if (c.deaf) {
+            drop(c, to - from);
+        } else if (!framing.inside()) {
+            c.insideSinceUs = 0;
+        } else if (c.insideSinceUs == 0) {
+            c.insideSinceUs = loop.nowUs();
         }
+    }
 
-        private void drop(IngressConnection here, Buffer in) {
-            int n = in.remaining();
-            in.tryDispose();
-            if (here != null && (here.dropped += n) > MOST_DROPPED) {
-                reads(here, false);
+    /** Nothing more of this connection is looked at. */
+    private void drop(IngressConnection c, int bytes) {
+        c.deaf = true;
+        count(c, -c.reserved);
+        c.reserved = 0;
+        if ((c.dropped += bytes) > MOST_DROPPED) {
+            reads(c, false);
+        }
+    }
+
+    /** Counts bytes of the message that is coming in, or takes them off. */
+    private void count(IngressConnection c, int bytes) {
+        if (bytes < 0) {
+            let(c.callback, -bytes);
+        } else if (bytes > 0) {
+            invariants.hold(false, "a body was longer than announced");
+        }
+    }
+
+    private void let(boolean callback, int bytes) {
+        if (callback) {
+            room.resultGone(bytes);
+        } else {
+            room.bodyGone(bytes);
+        }
+        if (!waiting.isEmpty() && !lettingIn) {
+            lettingIn = true;
+            loop.post(this::letIn);
+        }
+    }
+
+    /** Whoever a request was given to no longer keeps its body. */
+    public void release(IngressRequest request) {
+        if (request.body().length > 0) {
+            let(isCallback(request.path()), request.body().length);
+        }
+    }
+
+    private static boolean isCallback(String path) {
+        return path.equals(CALLBACK);
+    }
+
+    /** Finds room for the body that was announced, or has the connection wait for it with its reading off. */
+    private boolean admit(IngressConnection c) {
+        int bytes = c.framing.announced();
+        c.callback = isCallback(c.framing.path());
+        Room.Verdict verdict = c.callback ? room.result(bytes) : room.body(handler.numberOf(c.framing.kind()), bytes);
+        if (verdict == Room.Verdict.TAKE) {
+            c.reserved = bytes;
+            c.framing.admit();
+            if (c.framing.takeExpectation()) {
+                write(c, transport.pooled(CONTINUE), () -> { });
+            }
+            return true;
+        }
+        if (c.waitsSinceUs == 0) {
+            invariants.count("ingress waits for room");
+            c.waitsSinceUs = loop.nowUs();
+            waiting.add(c);
+            regulate(c);
+        }
+        return false;
+    }
+
+    /** Something was let go of: those that wait for room try again, the first to come first. */
+    private void letIn() {
+        lettingIn = false;
+        for (IngressConnection c : new ArrayList<>(waiting)) {
+            if (!c.closing && admit(c)) {
+                goOn(c);
             }
         }
     }
 
+    private void goOn(IngressConnection c) {
+        waiting.remove(c);
+        c.waitsSinceUs = 0;
+        c.insideSinceUs = loop.nowUs(); // the time it waited was not its client's
+        byte[] rest = c.rest;
+        c.rest = null;
+        read(c, rest, 0, rest.length);
+        regulate(c);
+    }
+
+    /** No room was found in time: the client hears so now, as far as its place in the order of answers allows. */
+    private void turnAway(IngressConnection c) {
+        waiting.remove(c);
+        c.waitsSinceUs = 0;
+        c.rest = null;
+        invariants.count("ingress turned away for room");
+        handler.turnedAway(c.framing.kind());
+        drop(c, 0);
+        regulate(c);
+        unreadable(c, SHED);
+    }
+
     /**
      * Reads on, or lets the rest wait in the kernel. Guards memory against requests sent ahead, as closing would
      * lose the one being answered, and the loop against a client that sends the same bad thing again and again.
      */
     private void regulate(IngressConnection c) {
-        boolean held = c.ahead.size() >= MOST_AHEAD || c.penance;
+        boolean held = c.ahead.size() >= MOST_AHEAD || c.penance || c.waitsSinceUs != 0;
         if (held != c.held) {
             c.held = held;
             invariants.count(held ? "ingress held back" : "ingress read on");
@@ -244,46 +341,6 @@
         }
     }
 
-    /** Runs on the selector: gathers each request's body and posts the whole. */
-    private final class RequestFilter extends BaseFilter {
-        @Override
-        public NextAction handleRead(FilterChainContext ctx) {
-            HttpContent content = ctx.getMessage();
-            IngressConnection here = HERE.get(ctx.getConnection());
-            HttpRequestPacket packet = (HttpRequestPacket) content.getHttpHeader();
-            if (!invariants.hold(!HttpContent.isBroken(content), "the codec refused what was framed well")) {
-                here.deaf = true;
-                loop.post(() -> loop.after(LINGER_US, here.connection::closeSilently));
-                return ctx.getStopAction();
-            }
-            byte[] piece = Transport.take(content.getContent());
-            boolean last = content.isLast();
-            content.recycle();
-            if (here.body == null) {
-                here.body = new ByteArrayOutputStream();
-                if (packet.requiresAcknowledgement()) {
-                    HttpResponsePacket go = packet.getResponse();
-                    go.setStatus(100);
-                    go.setAcknowledgement(true);
-                    ctx.write(go);
-                }
-            }
-            here.body.writeBytes(piece);
-            if (last) {
-                IngressRequest whole = whole(packet, here.body.toByteArray(), packet.getProcessingState().isKeepAlive());
-                here.body = null;
-                loop.post(() -> arrived(here, whole));
-            }
-            return ctx.getStopAction();
-        }
-
-        private IngressRequest whole(HttpRequestPacket p, byte[] body, boolean keepAlive) {
-            String query = p.getQueryString();
-            return new IngressRequest(p, p.getMethod().getMethodString(), p.getRequestURI(),
-                query == null || query.isEmpty() ? null : query, IngressRequest.Headers.of(p), body, keepAlive);
-        }
-    }
-
     private void opened(IngressConnection c) {
         all.add(c);
         if (all.size() > mostConnections) {
@@ -324,7 +381,11 @@
     private void closed(IngressConnection c) {
         c.closing = true;
         all.remove(c);
+        waiting.remove(c);
+        c.ahead.forEach(this::release);
         c.ahead.clear();
+        c.rest = null;
+        drop(c, 0);
         if (c.onGone != null) {
             Runnable gone = c.onGone;
             c.onGone = null;
@@ -334,6 +395,7 @@
 
     private void arrived(IngressConnection c, IngressRequest request) {
         if (c.closing) {
+            release(request);
             return;
         }
         c.lastUsedUs = loop.nowUs();
@@ -364,22 +426,59 @@
 
     private void endWithError(IngressConnection c) {
         c.closing = true;
+        Message head = head(c.fault, 0, c.fault == SHED ? handler.comeBack() : null).header("Connection", "close").line();
+        write(c, transport.pooled(head, NOTHING), () -> {
+            try {
+                // A client that reads on sees the end at once, and its own end is seen here.
+                ((SocketChannel) ((NIOConnection) c.connection).getChannel()).shutdownOutput();
+            } catch (IOException e) {
+                c.connection.closeSilently();
+            }
+        });
+        loop.after(LINGER_US, c.connection::closeSilently);
+    }
+
+    private Message head(int status, int bodyBytes, String retryAfter) {
+        Message m = transport.message().add(StatusLine.of(status));
+        if (status != NO_CONTENT) {
+            m.add("Content-Length: ").add(bodyBytes).line();
+        }
+        return m.header("Retry-After", retryAfter);
+    }
+
+    /** Writes and counts what its peer has not taken yet; the task runs, in the loop's next turn, when it has. */
+    private void write(IngressConnection c, Buffer message, Runnable taken) {
+        int bytes = message.remaining();
+        room.output(bytes);
+        writing++;
+        if (c.unreadSinceUs == 0) {
+            c.unreadSinceUs = loop.nowUs();
+        }
+        c.unread += bytes;
         @SuppressWarnings("unchecked")
         Connection<SocketAddress> out = (Connection<SocketAddress>) c.connection;
-        String text = "HTTP/1.1 " + c.fault + " " + HttpStatus.getHttpStatus(c.fault).getReasonPhrase()
-            + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-        out.write(transport.pooled(text.getBytes(StandardCharsets.US_ASCII)), new EmptyCompletionHandler<>() {
+        out.write(message, new EmptyCompletionHandler<WriteResult<Buffer, SocketAddress>>() {
             @Override
             public void completed(WriteResult<Buffer, SocketAddress> result) {
-                try {
-                    // A client that reads on sees the end at once, and its own end is seen here.
-                    ((SocketChannel) ((NIOConnection) c.connection).getChannel()).shutdownOutput();
-                } catch (IOException e) {
-                    c.connection.closeSilently();
-                }
+                loop.post(() -> {
+                    over();
+                    taken.run();
+                });
+            }
+
+            @Override
+            public void failed(Throwable t) {
+                c.connection.closeSilently();
+                loop.post(this::over);
+            }
+
+            private void over() {
+                writing--;
+                room.outputGone(bytes);
+                c.unread -= bytes;
+                c.unreadSinceUs = c.unread == 0 ? 0 : loop.nowUs();
             }
         });
-        loop.after(LINGER_US, out::closeSilently);
     }
 
     /** Marks what to do if the client leaves before its answer. */
@@ -413,41 +512,17 @@
             });
         }
         boolean ends = !request.keepAlive() || sendingAway && !c.carriesCallbacks;
-        HttpResponsePacket head = request.packet().getResponse();
-        head.setStatus(status);
-        head.setAcknowledgement(false);
-        head.setContentLength(body.length);
-        if (retryAfter != null) {
-            head.setHeader("Retry-After", retryAfter);
-        }
+        Message head = head(status, body.length, retryAfter);
         if (ends) {
             c.closing = true;
-            head.setHeader("Connection", "close");
+            head.header("Connection", "close");
+        } else if (request.oldVersion()) {
+            head.header("Connection", "keep-alive");
         }
-        HttpContent whole = HttpContent.builder(head).content(transport.pooled(body)).last(true).build();
-        writing++;
-        @SuppressWarnings("unchecked")
-        Connection<SocketAddress> out = (Connection<SocketAddress>) c.connection;
-        out.write(whole, new EmptyCompletionHandler<WriteResult<HttpContent, SocketAddress>>() {
-            @Override
-            public void completed(WriteResult<HttpContent, SocketAddress> result) {
-                loop.post(() -> answered(c, ends));
-            }
-
-            @Override
-            public void failed(Throwable t) {
-                c.connection.closeSilently();
-                loop.post(() -> answered(c, false));
-            }
-        });
+        write(c, transport.pooled(head.line(), body), () -> answered(c, ends));
     }
 
     private void answered(IngressConnection c, boolean ends) {
-        writing--;
-        if (c.current != null) {
-            // Gives the buffer with its headers back to the pool; else it would be left to the collector.
-            c.current.packet().recycle();
-        }
         c.current = null;
         c.lastUsedUs = loop.nowUs();
         if (ends) {
@@ -467,6 +542,17 @@
         for (IngressConnection c : new ArrayList<>(all)) {
             long inside = c.insideSinceUs;
             boolean slow = inside != 0 ? now - inside > SLOW_US : !c.proven && now - c.openedUs > SLOW_US;
+            if (c.unreadSinceUs != 0 && now - c.unreadSinceUs > UNREAD_US && room.choked()) {
+                invariants.count("ingress answer not read");
+                c.connection.closeSilently();
+                continue;
+            }
+            if (c.waitsSinceUs != 0) {
+                if (now - c.waitsSinceUs > WAIT_US && !c.callback && !c.closing) {
+                    turnAway(c);
+                }
+                continue;
+            }
             if (c.closing || !c.idle()) {
                 continue;
             }
--- a/src/main/java/hookweir/net/ingress/IngressConnection.java
+++ b/node/src/main/java/hookweir/net/ingress/IngressConnection.java
@@ -4,7 +4,7 @@
 import java.util.Deque;
 import org.glassfish.grizzly.Connection;
 
-/** One accepted connection. The upper fields belong to the loop, the lower ones to the selector. */
+/** One accepted connection. Belongs to the loop's thread. */
 public final class IngressConnection {
     /** The cost of one that is in use. */
     static final int NEEDED = 8;
@@ -34,12 +34,18 @@
     /** What can't be read came after the requests held: this is the status to end with, or 0. */
     int fault;
 
-    // Selector only, but that the loop reads the time.
     final Framing framing = new Framing();
     /** When the message that is coming in began; 0 between messages. */
-    volatile long insideSinceUs;
-    /** The request whose body is coming in. */
-    java.io.ByteArrayOutputStream body;
+    long insideSinceUs;
+    /** So much room is counted for the body that is coming in, and whether it is a worker's call. */
+    int reserved;
+    boolean callback;
+    /** Since when a body waits for room, with what was read beyond its head; 0 and null while none does. */
+    long waitsSinceUs;
+    byte[] rest;
+    /** Bytes written that the peer has not taken, and since when it takes none. */
+    int unread;
+    long unreadSinceUs;
     /** Nothing that comes in is looked at any more. */
     boolean deaf;
     int dropped;
