Add the lab: stand-in fleet, open and closed loop clients, capacity and saturation reports

The lab starts schedulers by the line that operators use, with workers and discovery on loopback round them; clients keep to their schedule and count lateness from the intended start; rows, JSON and charts are kept, beside a bare echo on the same transport. bench has JMH for timers, request reading, the draw and reports.

--- /dev/null
+++ b/bench/src/main/java/hookweir/bench/HotPathBenchmark.java
@@ -0,0 +1,137 @@
+package hookweir.bench;
+
+import hookweir.Contract;
+import hookweir.Policy;
+import hookweir.net.egress.LoadReport;
+import hookweir.net.ingress.Framing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** The steps of a job that take the most time: reading it, drawing its worker, reading a report. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(value = 1, jvmArgs = {"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx256m"})
+public class HotPathBenchmark {
+    private static final byte[] REQUEST = ("POST /api/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: app.svc\r\nReq-Id: 9b1f03aa5c7e2d41\r\n"
+        + "Req-Kind: render\r\nReq-Deadline-Ms: 480\r\nContent-Length: 4\r\n\r\nwork").getBytes(StandardCharsets.US_ASCII);
+
+    /** A module with so many workers, each heard from, that probes none. */
+    @State(Scope.Thread)
+    public static class Module implements Contract.Host {
+        @Param({"10", "100", "1000"})
+        private int workers;
+
+        private Policy policy;
+        private long now = 1_000_000;
+        private int id;
+        private int sentTo;
+
+        /** Fills the list. */
+        @Setup(Level.Trial)
+        public void fill() {
+            Contract.Settings settings = new Contract.Settings();
+            settings.classes.add(new Contract.RequestClass());
+            settings.maxAttempts = 3;
+            policy = new Policy(settings, 7, this);
+            List<Contract.Worker> list = new ArrayList<>();
+            for (int i = 0; i < workers; i++) {
+                Contract.Worker w = new Contract.Worker();
+                w.id = i;
+                list.add(w);
+            }
+            policy.fleet(now, false, list);
+        }
+
+        @Override
+        public void send(int requestId, int workerId, long withinUs) {
+            sentTo = workerId;
+        }
+
+        @Override
+        public void refuse(int requestId, long comeBackUs) {
+            sentTo = -1;
+        }
+
+        @Override
+        public void fail(int requestId) {
+            sentTo = -1;
+        }
+
+        @Override
+        public void cancel(int requestId, int attempt) {
+        }
+
+        @Override
+        public void probe(int workerId) {
+        }
+
+        @Override
+        public void timer(long token, long delayUs) {
+        }
+
+        @Override
+        public void watchList(boolean on) {
+        }
+
+        @Override
+        public void fetchList() {
+        }
+
+        @Override
+        public void tell(int peer, byte[] body) {
+        }
+
+        @Override
+        public void log(String text) {
+        }
+    }
+
+    private final Framing framing = new Framing();
+    private final LoadReport reports = new LoadReport(new String[] {"inflight", "queue", "util"});
+
+    /** A request, from its first byte to its last. */
+    @Benchmark
+    public Object request() {
+        int at = framing.feed(REQUEST, 0, REQUEST.length);
+        framing.admit();
+        framing.feed(REQUEST, at, REQUEST.length);
+        return framing.take();
+    }
+
+    /** A job from its coming to its end, one worker drawn. */
+    @Benchmark
+    public int job(Module m) {
+        Contract.Request r = new Contract.Request();
+        r.id = m.id++;
+        m.now += 200;
+        r.giveUpAtUs = m.now + 1_000_000;
+        m.policy.request(m.now, r);
+        if (m.sentTo >= 0) {
+            m.policy.outcome(m.now + 100, r.id, 0, m.sentTo, Contract.Outcome.OK, 100, true, null);
+        }
+        return m.sentTo;
+    }
+
+    /** A report in a header. */
+    @Benchmark
+    public Object report() {
+        return reports.ofPairs("inflight=7,queue=2,util=0.61");
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/hookweir/lab/Capacity.java
@@ -0,0 +1,124 @@
+package hookweir.lab;
+
+import hookweir.lab.load.Bench;
+import hookweir.lab.load.Clients;
+import hookweir.lab.load.Target;
+import hookweir.lab.net.Reactor;
+import hookweir.lab.report.LoadReport;
+import hookweir.lab.report.Step;
+import hookweir.lab.standin.Fleet;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.kohsuke.args4j.Option;
+
+/** Steps the rate up until a bound is passed, then offers twice the capacity, and holds it against the bare echo. */
+public final class Capacity extends Main.Command {
+    @Option(name = "--root", usage = "the folder with deploy/balancer.toml")
+    private String root = ".";
+    @Option(name = "--cpu", usage = "the processor that the scheduler and the echo are pinned to; -1 for any")
+    private int cpu;
+    @Option(name = "--from", usage = "jobs a second of the first step")
+    private double from = 500;
+    @Option(name = "--factor", usage = "each step's rate by the one before")
+    private double factor = 1.25;
+    @Option(name = "--seconds", usage = "length of a step")
+    private double seconds = 5;
+    @Option(name = "--p99-ms", usage = "the bound on the 99th percentile")
+    private double mostP99 = 50;
+    @Option(name = "--refused", usage = "the bound on the share of refusals")
+    private double mostRefused = 0.01;
+    @Option(name = "--clients", usage = "client connections at most")
+    private int connections = 256;
+    @Option(name = "--workers", usage = "stand-in workers")
+    private int workers = 10;
+    @Option(name = "--service-ms", usage = "how long each job takes")
+    private int serviceMs;
+    @Option(name = "--body", usage = "bytes of a job's body")
+    private int body = 4;
+    @Option(name = "--result", usage = "bytes of a job's result")
+    private int result = 2;
+    @Option(name = "--deadline-ms", usage = "how long clients wait")
+    private long deadlineMs = 5000;
+    @Option(name = "--sockets", usage = "limits.sockets of the scheduler")
+    private int sockets = 1024;
+    @Option(name = "--flags", usage = "further flags of the scheduler's JVM")
+    private String flags = "";
+    @Option(name = "--lab-jar", usage = "this lab's jar, which holds the echo")
+    private String jar = "lab/target/hookweir-lab.jar";
+    @Option(name = "--out", usage = "the folder for the report")
+    private String out = "target/capacity";
+    @Option(name = "--name", usage = "the report's name")
+    private String name = "capacity";
+
+    @Override
+    protected String what() {
+        return "How many jobs a second one scheduler serves on one processor, and at what latency.\n"
+            + "example: java -jar lab/target/hookweir-lab.jar capacity --workers 100 --seconds 5";
+    }
+
+    @Override
+    protected int run() throws IOException, InterruptedException {
+        List<Step> steps = new ArrayList<>();
+        System.out.println(Step.head());
+        double echo = echo(steps);
+        double best = 0;
+        double half = 0;
+        double over;
+        try (Bench bench = new Bench(new Bench.Setting(root, cpu, workers, serviceMs, result, deadlineMs / 2, sockets, flags))) {
+            bench.span(plan(0), seconds); // warms up
+            boolean held = true;
+            for (double rate = from; held; rate *= factor) {
+                Step step = shown(steps, bench.span(plan(rate), seconds));
+                held = step.p99() <= mostP99 && step.refusedShare() <= mostRefused && step.failed() == 0 && step.goodput() > 0.97 * rate;
+                best = held ? step.goodput() : best;
+            }
+            half = shown(steps, bench.span(plan(best / 2), seconds)).p99();
+            Step twice = shown(steps, bench.span(plan(2 * best), 2 * seconds));
+            over = twice.goodput() / best;
+            System.out.printf("capacity %.0f jobs/s (p99 up to %.0f ms, refused up to %.0f%%); p99 at half of it %.2f ms%n"
+                + "at twice the capacity: served %.0f%% of it, p99 of refusals %.1f ms%n"
+                + "echo %.0f/s; a third is the limit: %.0f%% of it reached; attempts twice %d, call-backs dropped %d%n", best, mostP99,
+                100 * mostRefused, half, 100 * over, twice.refusalP99(), echo, 100 * best / (echo / 3), bench.fleet().twice(),
+                bench.fleet().dropped());
+        }
+        LoadReport.json(Path.of(out), name, Map.of("workers", workers, "bodyBytes", body, "resultBytes", result, "serviceMs", serviceMs,
+            "clients", connections, "deadlineMs", deadlineMs, "capacity", best, "p99AtHalf", half, "goodputAtTwice", over, "echo", echo), steps);
+        LoadReport.latencies(Path.of(out), name, "One scheduler on one processor, " + workers + " workers, bodies of " + body + " bytes",
+            within(steps, best));
+        return 0;
+    }
+
+    private static List<Step> within(List<Step> steps, double rate) {
+        return steps.stream().filter(s -> s.target().equals("scheduler") && s.offered() <= rate * 1.01).toList();
+    }
+
+    private double echo(List<Step> steps) throws IOException, InterruptedException {
+        try (Target t = Target.echo(Path.of(root), cpu, Path.of(jar)); Reactor reactor = new Reactor("echo clients")) {
+            Clients.Plan plan = new Clients.Plan(connections, 0, body, deadlineMs, "job");
+            Clients c = new Clients(reactor, Fleet.local(t.port()), plan, "e");
+            c.start();
+            Thread.sleep((long) (seconds * 1000));
+            c.take();
+            double cpuS = t.cpuS();
+            long allocated = t.allocatedBytes();
+            long begin = System.nanoTime();
+            Thread.sleep((long) (seconds * 1000));
+            Clients.Seen seen = c.take();
+            double s = (System.nanoTime() - begin) / 1e9;
+            return shown(steps, Step.of("echo", 0, s, seen, t.cpuS() - cpuS, t.residentBytes(), t.allocatedBytes() - allocated, 0)).goodput();
+        }
+    }
+
+    private static Step shown(List<Step> steps, Step step) {
+        steps.add(step);
+        System.out.println(step);
+        return step;
+    }
+
+    private Clients.Plan plan(double rate) {
+        return new Clients.Plan(connections, rate, body, deadlineMs, "job");
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/hookweir/lab/Main.java
@@ -0,0 +1,69 @@
+package hookweir.lab;
+
+import java.io.IOException;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.ParserProperties;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+
+/** The lab's command line. */
+public final class Main {
+    private static final int USAGE = 2;
+
+    /** A sub-command. */
+    public abstract static class Command {
+        @Option(name = "--help", aliases = "-h", help = true, usage = "prints this")
+        private boolean help;
+
+        /** Runs it; its exit status. */
+        protected abstract int run() throws IOException, InterruptedException;
+
+        /** What it does, and an example of it. */
+        protected abstract String what();
+    }
+
+    @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class,
+        usage = "capacity: how many jobs a second one scheduler serves; saturate: minutes of full load, with memory for each")
+    @SubCommands({
+        @SubCommand(name = "capacity", impl = Capacity.class),
+        @SubCommand(name = "saturate", impl = Saturate.class)})
+    private Command command;
+
+    @Option(name = "--help", aliases = "-h", help = true, usage = "prints this")
+    private boolean help;
+
+    private Main() {
+    }
+
+    /** Entry point. */
+    public static void main(String[] args) throws InterruptedException {
+        Main main = new Main();
+        CmdLineParser parser = parser(main);
+        try {
+            parser.parseArgument(args);
+            if (main.help) {
+                parser.printUsage(System.out);
+            } else if (main.command.help) {
+                System.out.println(main.command.what());
+                parser(main.command).printUsage(System.out);
+            } else {
+                System.exit(main.command.run());
+            }
+        } catch (CmdLineException e) {
+            System.err.println("hookweir-lab: " + e.getMessage());
+            parser.printUsage(System.err);
+            System.exit(USAGE);
+        } catch (IOException e) {
+            System.err.println("hookweir-lab: " + e.getMessage());
+            System.exit(1);
+        }
+    }
+
+    private static CmdLineParser parser(Object bean) {
+        return new CmdLineParser(bean, ParserProperties.defaults().withShowDefaults(true));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/hookweir/lab/load/Bench.java
@@ -0,0 +1,95 @@
+package hookweir.lab.load;
+
+import hookweir.lab.net.Reactor;
+import hookweir.lab.report.Step;
+import hookweir.lab.standin.Fleet;
+import java.io.IOException;
+import java.nio.file.Path;
+
+/** A scheduler with stand-ins round it and clients before it, and what a span of load on it came to. */
+public final class Bench implements AutoCloseable {
+    private static final long SETTLE_MS = 30_000;
+
+    /**
+     * What is set up.
+     *
+     * @param root the folder with deploy/balancer.toml
+     * @param cpu the scheduler's processor, or -1
+     * @param serviceMs how long each job takes
+     * @param aimMs the class's aim; its deadline is twice as long
+     * @param flags further flags for the scheduler's JVM
+     */
+    public record Setting(String root, int cpu, int workers, int serviceMs, int resultBytes, long aimMs, int sockets, String flags) {
+    }
+
+    private final Reactor workers = new Reactor("workers");
+    private final Reactor clients = new Reactor("clients");
+    private final Fleet fleet;
+    private final Target target;
+    private int spans;
+
+    /** Starts all of it. */
+    public Bench(Setting s) throws IOException, InterruptedException {
+        fleet = new Fleet(workers, s.workers, 64, s.serviceMs * 1_000_000L, s.resultBytes);
+        target = Target.scheduler(Path.of(s.root), s.cpu, fleet.list(), s.aimMs, s.sockets, s.flags);
+        fleet.tells(Fleet.local(target.port()));
+    }
+
+    /** Loads it for so long and then waits for the answers that are due. */
+    public Step span(Clients.Plan plan, double seconds) throws IOException, InterruptedException {
+        Clients c = begin(plan);
+        Step step = next(c, plan, seconds);
+        end(c);
+        return step;
+    }
+
+    /** Starts clients that go on until {@link #end}. */
+    public Clients begin(Clients.Plan plan) {
+        Clients c = new Clients(clients, Fleet.local(target.port()), plan, "j" + spans++ + "-");
+        c.start();
+        return c;
+    }
+
+    /** What the next so many seconds come to. */
+    public Step next(Clients c, Clients.Plan plan, double seconds) throws IOException, InterruptedException {
+        long from = System.nanoTime();
+        double cpu = target.cpuS();
+        long allocated = target.allocatedBytes();
+        long probes = fleet.probes();
+        c.take();
+        Thread.sleep((long) (seconds * 1000));
+        Clients.Seen seen = c.take();
+        double s = (System.nanoTime() - from) / 1e9;
+        if (!target.isAlive()) {
+            throw new IOException("the scheduler ended: " + target.log());
+        }
+        return Step.of("scheduler", plan.perSecond(), s, seen, target.cpuS() - cpu, target.residentBytes(),
+            target.allocatedBytes() - allocated, fleet.probes() - probes);
+    }
+
+    /** Ends the clients; those that have no answer after half a minute count as failed. Their number. */
+    public long end(Clients c) throws InterruptedException {
+        for (long end = System.currentTimeMillis() + SETTLE_MS; !c.ends() && System.currentTimeMillis() < end;) {
+            Thread.sleep(50);
+        }
+        Clients.Seen rest = c.take();
+        return rest.unanswered;
+    }
+
+    /** The stand-in workers. */
+    public Fleet fleet() {
+        return fleet;
+    }
+
+    /** The scheduler. */
+    public Target target() {
+        return target;
+    }
+
+    @Override
+    public void close() throws IOException {
+        target.close();
+        clients.close();
+        workers.close();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/hookweir/lab/load/Clients.java
@@ -0,0 +1,215 @@
+package hookweir.lab.load;
+
+import hookweir.lab.net.Peer;
+import hookweir.lab.net.Reactor;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.CountDownLatch;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Clients on kept connections, at a rate of their own (open loop) or each as soon as it has its answer (closed loop).
+ * In an open loop a job's time counts from when it was meant to start, so a scheduler that stalls can't hide it by
+ * holding the generator up (coordinated omission).
+ */
+public final class Clients {
+    private static final long MOST_NS = 120_000_000_000L;
+    private static final int DIGITS = 3;
+    private static final long RETRY_NS = 50_000_000L;
+
+    /**
+     * What the clients do.
+     *
+     * @param connections how many connections there are at most
+     * @param perSecond jobs begun in a second, evenly; 0 for a closed loop
+     * @param bodyBytes length of each job's body
+     * @param deadlineMs what each client says it waits
+     * @param kind the class of all jobs
+     */
+    public record Plan(int connections, double perSecond, int bodyBytes, long deadlineMs, String kind) {
+    }
+
+    /** What came of the jobs that were begun in one span. All times in ns. */
+    public static final class Seen {
+        public final Histogram served = new Histogram(MOST_NS, DIGITS);
+        public final Histogram refused = new Histogram(MOST_NS, DIGITS);
+        public long begun;
+        public long failed;
+        public long unanswered;
+
+        /** Jobs that got any answer. */
+        public long answered() {
+            return served.getTotalCount() + refused.getTotalCount() + failed;
+        }
+    }
+
+    private final Reactor reactor;
+    private final InetSocketAddress to;
+    private final Plan plan;
+    private final String idPrefix;
+    private final byte[] body;
+    private final Deque<Client> idle = new ArrayDeque<>();
+    private final Deque<Long> due = new ArrayDeque<>();
+    private Seen seen = new Seen();
+    private long count;
+    private int open;
+    private long nextNs;
+    private boolean stopping;
+    private int out;
+
+    /** Clients of this thread; the prefix keeps their jobs' ids apart from those of others. */
+    public Clients(Reactor reactor, InetSocketAddress to, Plan plan, String idPrefix) {
+        this.reactor = reactor;
+        this.to = to;
+        this.plan = plan;
+        this.idPrefix = idPrefix;
+        body = "w".repeat(plan.bodyBytes).getBytes(StandardCharsets.US_ASCII);
+    }
+
+    /** Begins. */
+    public void start() {
+        reactor.post(() -> {
+            if (plan.perSecond > 0) {
+                nextNs = System.nanoTime();
+                tick();
+            } else {
+                for (int i = 0; i < plan.connections; i++) {
+                    open();
+                }
+            }
+        });
+    }
+
+    /** What was seen since the last call, or the start. Any thread. */
+    public Seen take() throws InterruptedException {
+        Seen[] taken = new Seen[1];
+        CountDownLatch done = new CountDownLatch(1);
+        reactor.post(() -> {
+            taken[0] = seen;
+            seen = new Seen();
+            done.countDown();
+        });
+        done.await();
+        return taken[0];
+    }
+
+    /** Begins no more jobs; true once all that were begun have ended. Any thread. */
+    public boolean ends() throws InterruptedException {
+        boolean[] over = new boolean[1];
+        CountDownLatch done = new CountDownLatch(1);
+        reactor.post(() -> {
+            stopping = true;
+            due.clear();
+            over[0] = out == 0;
+            done.countDown();
+        });
+        done.await();
+        return over[0];
+    }
+
+    private void tick() {
+        long now = System.nanoTime();
+        while (nextNs <= now && !stopping) {
+            due.addLast(nextNs);
+            nextNs += (long) (1e9 / plan.perSecond);
+        }
+        spread();
+        if (!stopping) {
+            reactor.at(nextNs, this::tick);
+        }
+    }
+
+    private void spread() {
+        while (!due.isEmpty()) {
+            Client c = idle.pollFirst();
+            if (c == null && open < plan.connections) {
+                c = open();
+            }
+            if (c == null) {
+                return; // all are busy: the job waits, and its time runs
+            }
+            c.begin(due.pollFirst());
+        }
+    }
+
+    private Client open() {
+        Client c = new Client();
+        open++;
+        reactor.connect(to, c);
+        if (plan.perSecond <= 0) {
+            c.begin(System.nanoTime());
+        }
+        return c;
+    }
+
+    private final class Client extends Peer {
+        private long startNs;
+        private boolean waits;
+
+        void begin(long meantNs) {
+            startNs = meantNs;
+            waits = true;
+            out++;
+            seen.begun++;
+            String head = "POST /api HTTP/1.1\r\nHost: app.svc\r\nReq-Id: " + idPrefix + Long.toHexString(count++) + "\r\nReq-Kind: "
+                + plan.kind + "\r\nReq-Deadline-Ms: " + plan.deadlineMs + "\r\nContent-Length: " + body.length + "\r\n\r\n";
+            byte[] text = new byte[head.length() + body.length];
+            System.arraycopy(head.getBytes(StandardCharsets.ISO_8859_1), 0, text, 0, head.length());
+            System.arraycopy(body, 0, text, head.length(), body.length);
+            write(text);
+        }
+
+        @Override
+        protected void message(String head, byte[] answer) {
+            if (!waits) {
+                return;
+            }
+            waits = false;
+            out--;
+            long took = Math.min(MOST_NS, Math.max(1, System.nanoTime() - startNs));
+            String status = head.substring(9, 12);
+            switch (status) {
+                case "200" -> seen.served.recordValue(took);
+                case "429", "503" -> seen.refused.recordValue(took);
+                default -> seen.failed++;
+            }
+            boolean ends = head.contains("onnection: close");
+            if (ends) {
+                close();
+            } else if (plan.perSecond > 0) {
+                idle.addFirst(this);
+                spread();
+            } else if (!stopping) {
+                if (status.equals("200")) {
+                    begin(System.nanoTime());
+                } else {
+                    reactor.at(System.nanoTime() + RETRY_NS, () -> {
+                        if (!stopping && !isClosed() && !waits) {
+                            begin(System.nanoTime());
+                        }
+                    });
+                }
+            }
+        }
+
+        @Override
+        protected void ended() {
+            open--;
+            idle.remove(this);
+            if (waits) {
+                waits = false;
+                out--;
+                seen.unanswered++;
+            }
+            if (!stopping && plan.perSecond <= 0) {
+                reactor.at(System.nanoTime() + RETRY_NS, () -> {
+                    if (!stopping) {
+                        open();
+                    }
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/hookweir/lab/load/Target.java
@@ -0,0 +1,174 @@
+package hookweir.lab.load;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A process under load: a scheduler, started by the very line that operators use, or the echo that it is held against. */
+public final class Target implements AutoCloseable {
+    private static final long READY_MS = 20_000;
+    private static final double TICKS_PER_S = 100;
+    private static final Pattern PAUSE = Pattern.compile("(\\d+)([KM])->(\\d+)([KM])\\(");
+
+    private final Process process;
+    private final int port;
+    private final Path folder;
+
+    private Target(Process process, int port, Path folder) {
+        this.process = process;
+        this.port = port;
+        this.folder = folder;
+    }
+
+    /**
+     * A scheduler by the line 'run' of deploy/balancer.toml, pinned to this processor.
+     *
+     * @param root the folder that the line is run in
+     * @param cpu the processor, or -1 for any
+     * @param listPort where the list of workers is served
+     * @param aimMs the class's aim, with its deadline twice as long
+     * @param flags further flags of the JVM, later ones win
+     */
+    public static Target scheduler(Path root, int cpu, int listPort, long aimMs, int sockets, String flags) throws IOException, InterruptedException {
+        Matcher line = Pattern.compile("(?m)^run = \"exec (.*?)\"").matcher(Files.readString(root.resolve("deploy/balancer.toml")));
+        if (!line.find()) {
+            throw new IOException("deploy/balancer.toml: no line 'run = \"exec ...\"'");
+        }
+        int port = freePort();
+        Path folder = Files.createTempDirectory("hookweir-load");
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, config(port, listPort, aimMs, sockets));
+        String run = line.group(1).replace(" -jar ", " " + flags + " -Xlog:gc:file=" + folder.resolve("gc.log") + ":none -jar ");
+        return started(root, cpu, run, Map.of("RELAY_CONFIG", config.toString(), "TMPDIR", folder.toString()), port, folder);
+    }
+
+    /** The echo of {@link Echo} as a process of its own, with the scheduler's flags but no class data. */
+    public static Target echo(Path root, int cpu, Path jar) throws IOException, InterruptedException {
+        int port = freePort();
+        Path folder = Files.createTempDirectory("hookweir-echo");
+        String run = "java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms24m -Xmx48m -XX:MaxDirectMemorySize=16m -Xlog:gc:file="
+            + folder.resolve("gc.log") + ":none -cp " + jar + " hookweir.lab.load.Echo " + port;
+        return started(root, cpu, run, Map.of(), port, folder);
+    }
+
+    private static Target started(Path root, int cpu, String run, Map<String, String> env, int port, Path folder)
+            throws IOException, InterruptedException {
+        String pinned = (cpu < 0 ? "" : "taskset -c " + cpu + " ") + run;
+        ProcessBuilder b = new ProcessBuilder("/bin/sh", "-c", "exec " + pinned).directory(root.toFile());
+        b.environment().putAll(env);
+        b.redirectErrorStream(true).redirectOutput(new File(folder.toFile(), "log"));
+        Target t = new Target(b.start(), port, folder);
+        t.awaitReady();
+        return t;
+    }
+
+    private void awaitReady() throws IOException, InterruptedException {
+        for (long end = System.currentTimeMillis() + READY_MS; System.currentTimeMillis() < end; Thread.sleep(20)) {
+            if (!process.isAlive()) {
+                break;
+            }
+            try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                s.setSoTimeout(2000);
+                s.getOutputStream().write("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                if (new String(s.getInputStream().readNBytes(12), StandardCharsets.US_ASCII).endsWith("200")) {
+                    return;
+                }
+            } catch (IOException e) {
+                continue; // not yet there
+            }
+        }
+        throw new IOException("the process did not get ready: " + log());
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
+    private static String config(int port, int listPort, long aimMs, int sockets) {
+        return ("{'name':'load','listen':'127.0.0.1:" + port + "','discovery':'127.0.0.1:" + listPort + "','seed':'1',"
+            + "'limits':{'sockets':" + sockets + "},'settings':{'classes':[{'name':'job','aim_us':" + aimMs * 1000 + ",'deadline_us':"
+            + 2 * aimMs * 1000 + ",'semantics':'read_like','key_scope':'all'}],'zones':['a'],'kinds':['m'],'discovery':'ask',"
+            + "'rules':{'ask_within_us':4000000},'stats':{'via':'pull','fields':['x0']},'limits':{'max_attempts':3,'probes':true,"
+            + "'cancel':true,'retry_after':true,'max_retry_after_us':1000000,'dial_timeout_us':250000,'conn_idle_us':10000000}}}").replace('\'', '"');
+    }
+
+    /** Where it listens. */
+    public int port() {
+        return port;
+    }
+
+    /** Processor seconds that it used so far. */
+    public double cpuS() throws IOException {
+        String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
+        String[] f = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        return (Long.parseLong(f[11]) + Long.parseLong(f[12])) / TICKS_PER_S;
+    }
+
+    /** Resident bytes now. */
+    public long residentBytes() throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
+            if (line.startsWith("VmRSS:")) {
+                return Long.parseLong(line.replaceAll("[^0-9]", "")) * 1024;
+            }
+        }
+        return 0;
+    }
+
+    /** Bytes allocated so far, as far as collections have told: what came between the end of each and the next. */
+    public long allocatedBytes() throws IOException {
+        long sum = 0;
+        long after = 0;
+        for (String line : Files.readAllLines(folder.resolve("gc.log"))) {
+            Matcher m = PAUSE.matcher(line);
+            if (m.find()) {
+                sum += bytes(m.group(1), m.group(2)) - after;
+                after = bytes(m.group(3), m.group(4));
+            }
+        }
+        return sum;
+    }
+
+    private static long bytes(String n, String unit) {
+        return Long.parseLong(n) * (unit.equals("K") ? 1 << 10 : 1 << 20);
+    }
+
+    /** It runs. */
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** Its id, for those who profile it. */
+    public long pid() {
+        return process.pid();
+    }
+
+    /** The last lines that it wrote. */
+    public String log() throws IOException {
+        List<String> lines = Files.readAllLines(folder.resolve("log"), StandardCharsets.ISO_8859_1);
+        return String.join("\n", lines.subList(Math.max(0, lines.size() - 5), lines.size()));
+    }
+
+    @Override
+    public void close() throws IOException {
+        process.destroy();
+        try {
+            if (!process.waitFor(8, TimeUnit.SECONDS)) {
+                process.destroyForcibly();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/hookweir/lab/standin/Fleet.java
@@ -0,0 +1,211 @@
+package hookweir.lab.standin;
+
+import hookweir.lab.net.Peer;
+import hookweir.lab.net.Reactor;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Stand-in workers, each on a port of its own, that take every job and end it after a fixed time by a call-back, and the
+ * list of them. They follow the protocol and check it: an attempt of a job that they hold or held counts as a breach.
+ */
+public final class Fleet {
+    private static final long HEARTBEAT_NS = 2_000_000_000L;
+    private static final String NO_BODY = "Content-Length: 0\r\n\r\n";
+
+    private final Reactor reactor;
+    private final long serviceNs;
+    private final byte[] result;
+    private final int slots;
+    private final List<Integer> ports = new ArrayList<>();
+    private final Deque<Caller> idle = new ArrayDeque<>();
+    private final Set<String> seen = new HashSet<>();
+    private InetSocketAddress scheduler;
+    private volatile long begun;
+    private volatile long probes;
+    private volatile long twice;
+    private volatile long dropped;
+
+    /**
+     * So many workers, of so many slots in their reports.
+     *
+     * @param serviceNs from taking a job to telling its end, in ns
+     * @param resultBytes length of each result
+     */
+    public Fleet(Reactor reactor, int workers, int slots, long serviceNs, int resultBytes) throws IOException {
+        this.reactor = reactor;
+        this.serviceNs = serviceNs;
+        this.slots = slots;
+        result = "r".repeat(resultBytes).getBytes(StandardCharsets.US_ASCII);
+        for (int i = 0; i < workers; i++) {
+            String name = String.format("s-%08x", i);
+            int[] busy = new int[1];
+            ports.add(reactor.listen(0, () -> new Worker(name, busy)));
+        }
+    }
+
+    /** Serves the list of these workers; the port. */
+    public int list() throws IOException {
+        return reactor.listen(0, Watcher::new);
+    }
+
+    /** Where the ends of jobs are told. */
+    public void tells(InetSocketAddress newScheduler) {
+        reactor.post(() -> {
+            scheduler = newScheduler;
+            idle.clear();
+            seen.clear();
+        });
+    }
+
+    /** Jobs begun so far. */
+    public long begun() {
+        return begun;
+    }
+
+    /** Probes answered so far. */
+    public long probes() {
+        return probes;
+    }
+
+    /** Attempts of a job that some worker had already. */
+    public long twice() {
+        return twice;
+    }
+
+    /** Call-backs that got no answer. */
+    public long dropped() {
+        return dropped;
+    }
+
+    private String servers() {
+        StringBuilder out = new StringBuilder("{\"version\":1,\"full\":true,\"servers\":[");
+        for (int i = 0; i < ports.size(); i++) {
+            out.append(i == 0 ? "" : ",").append(String.format("{\"id\":\"s-%08x\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"a\",\"kind\":\"m\","
+                + "\"cell\":0,\"state\":\"SERVING\",\"weight\":1.0,\"started_ms\":0}", i, ports.get(i)));
+        }
+        return out.append("]}\n").toString();
+    }
+
+    private final class Worker extends Peer {
+        private final String name;
+        private final int[] busy;
+
+        Worker(String name, int[] busy) {
+            this.name = name;
+            this.busy = busy;
+        }
+
+        @Override
+        protected void message(String head, byte[] body) {
+            if (head.startsWith("POST ")) {
+                begun++;
+                String id = header(head, "Req-Id");
+                if (!seen.add(id)) {
+                    twice++;
+                }
+                busy[0]++;
+                write("HTTP/1.1 202 Accepted\r\n" + NO_BODY);
+                if (serviceNs == 0) {
+                    done(id);
+                } else {
+                    reactor.at(System.nanoTime() + serviceNs, () -> done(id));
+                }
+            } else if (head.startsWith("GET ")) {
+                probes++;
+                String report = "x0=" + Math.max(0, slots - busy[0]);
+                write("HTTP/1.1 200 OK\r\nContent-Length: " + report.length() + "\r\n\r\n" + report);
+            } else {
+                write("HTTP/1.1 200 OK\r\n" + NO_BODY);
+            }
+        }
+
+        private void done(String id) {
+            busy[0]--;
+            String head = "{\"id\":\"" + id + "\",\"from\":\"" + name + "\",\"state\":\"done\",\"result\":\"";
+            Caller caller = idle.pollFirst();
+            while (caller != null && caller.isClosed()) {
+                caller = idle.pollFirst();
+            }
+            if (caller == null) {
+                caller = new Caller();
+                reactor.connect(scheduler, caller);
+            }
+            caller.tell(head, result);
+        }
+
+        @Override
+        protected void ended() {
+            // its jobs end all the same, as real ones do
+        }
+    }
+
+    /** A connection for call-backs. */
+    private final class Caller extends Peer {
+        private boolean calling;
+
+        void tell(String head, byte[] text) {
+            calling = true;
+            write("POST /callback HTTP/1.1\r\nHost: s\r\nContent-Type: application/json\r\nContent-Length: " + (head.length() + text.length + 2)
+                + "\r\n\r\n" + head + new String(text, StandardCharsets.US_ASCII) + "\"}");
+        }
+
+        @Override
+        protected void message(String head, byte[] body) {
+            calling = false;
+            idle.addFirst(this);
+        }
+
+        @Override
+        protected void ended() {
+            if (calling) {
+                dropped++;
+            }
+        }
+    }
+
+    /** Somebody who asks for the list. */
+    private final class Watcher extends Peer {
+        @Override
+        protected void message(String head, byte[] body) {
+            String whole = servers();
+            if (head.contains("watch=1")) {
+                write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(whole));
+                beat();
+            } else {
+                write("HTTP/1.1 200 OK\r\nContent-Length: " + whole.length() + "\r\n\r\n" + whole);
+            }
+        }
+
+        private void beat() {
+            reactor.at(System.nanoTime() + HEARTBEAT_NS, () -> {
+                if (!isClosed()) {
+                    write(chunk("\n"));
+                    beat();
+                }
+            });
+        }
+
+        private static String chunk(String text) {
+            return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+        }
+
+        @Override
+        protected void ended() {
+            // nothing is kept of it
+        }
+    }
+
+    /** The loopback address with this port. */
+    public static InetSocketAddress local(int port) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+}
