Share descriptors by need; wait for a link instead of failing; answer a crowd beyond them by 429

With 900 clients on 1,024 descriptors all accepted connections were clients' with jobs under way, so that workers' calls, which end the jobs, were closed as the newest: nothing was served and all was refused after 25 s. The fixed split (45% to links) left 537 connections while 80 links were in use; bursts beyond the links counted as failures of workers.

Room now has the descriptors too: links take what they need up to 45% and always have 20%, clients leave 15% of the accepted ones to call-backs; a client beyond that hears 429 at once. Where ending a connection would lose a job the door is shut, and newcomers wait in the kernel; a hop waits for a link as long as a dial may take. A connection whose body waits for room, or that was in use a second ago, is no longer the one to be closed. Ids, deadlines, keys and call-backs are read without patterns, exceptions and trees; a worker is looked at 50 times a second at most, however many jobs come.

--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -29,6 +29,7 @@
     private static final double GAIN = 0.05; // of a sample in running means: some see one request a second
     private static final double STALE_GAIN = 0.3; // step to a longer report period: one odd one can't set it
     private static final double RECHECK = 0.15; // mean jobs until a held job looks again: so slots free up
+    private static final long LEAST_GAP_US = 20_000; // between looks at a worker, however many jobs come
     private static final double ABROAD = 0.1; // room abroad counts so much where crossing costs anything
     private static final double NEXT_BY_KEY = 0.2; // room at a key's next worker, of the one before it
     private static final int RANKS = 8; // so many workers of a key are told apart...
@@ -260,7 +261,7 @@
             if (at < 0) break;
             W w = j.looks[i] = workers.get(at);
             weight[at] = 0;
-            if (now - w.heardUs > serviceUs * RECHECK) check(w);
+            if (now - w.heardUs > Math.max(serviceUs * RECHECK, LEAST_GAP_US)) check(w);
             j.looking += w.checkOut ? 1 : 0;
         }
         j.waiting = true;
--- a/core/src/main/java/hookweir/room/Room.java
+++ b/core/src/main/java/hookweir/room/Room.java
@@ -21,6 +21,12 @@
     /** A body up to this size is read at once: to have it wait would cost as much as to hold it. */
     public static final int SMALL_BYTES = 2048;
 
+    /** Of all descriptors, what links to workers may take at most, and what is always left to them. */
+    public static final double LINKS_SHARE = 0.45;
+    private static final double LINKS_LEAST = 0.2;
+    /** Of accepted connections, what clients may take: the others are workers', whose calls end jobs. */
+    private static final double CLIENTS_SHARE = 0.85;
+
     /** What becomes of something that wants room. */
     public enum Verdict {
         /** It is let in, and counted. */
@@ -38,6 +44,7 @@
     private long resultBytes;
     private long outputBytes;
     private int jobs;
+    private int descriptors;
 
     /** Room for so many bytes and jobs. */
     public Room(long mostBytes, int mostJobs) {
@@ -50,6 +57,31 @@
         mostJobs = atMostJobs;
     }
 
+    /** So many descriptors may be held for links and accepted connections together. */
+    public void descriptors(int most) {
+        descriptors = most;
+    }
+
+    /** So many connections may be accepted beside these links: those to workers are few, mostly, and always have a share. */
+    public int mostAccepted(int links) {
+        return descriptors - Math.max(links, (int) (descriptors * LINKS_LEAST));
+    }
+
+    /** So many of the accepted ones may be clients'. */
+    public int mostClients() {
+        return (int) (descriptors * (1 - LINKS_LEAST) * CLIENTS_SHARE);
+    }
+
+    /** So many links are worth keeping while they carry nothing. */
+    public int mostIdleLinks() {
+        return (int) (descriptors * LINKS_SHARE / 2);
+    }
+
+    /** Another link may be made beside these and the accepted connections. */
+    public boolean mayDial(int links, int accepted) {
+        return links < descriptors * LINKS_SHARE && links + accepted < descriptors;
+    }
+
     /** The classes by number: they are ranked by what a refusal costs, which is least where a repeat is safe. */
     public void classes(List<RequestClass> classes) {
         mark = new double[classes.size()];
--- a/lab/src/main/java/hookweir/lab/load/Clients.java
+++ b/lab/src/main/java/hookweir/lab/load/Clients.java
@@ -147,6 +147,8 @@
     private final class Client extends Peer {
         private long startNs;
         private boolean waits;
+        /** A kept connection: its end may cross a request, which the protocol lets a client send once more. */
+        private boolean kept;
 
         void begin(long meantNs) {
             startNs = meantNs;
@@ -167,6 +169,7 @@
                 return;
             }
             waits = false;
+            kept = true;
             out--;
             long took = Math.min(MOST_NS, Math.max(1, System.nanoTime() - startNs));
             String status = head.substring(9, 12);
@@ -201,6 +204,14 @@
             if (waits) {
                 waits = false;
                 out--;
+                if (kept) {
+                    seen.begun--;
+                    Client again = new Client();
+                    open++;
+                    reactor.connect(to, again);
+                    again.begin(startNs);
+                    return;
+                }
                 seen.unanswered++;
             }
             if (!stopping && plan.perSecond <= 0) {
--- a/lab/src/main/java/hookweir/lab/standin/Fleet.java
+++ b/lab/src/main/java/hookweir/lab/standin/Fleet.java
@@ -19,6 +19,8 @@
  */
 public final class Fleet {
     private static final long HEARTBEAT_NS = 2_000_000_000L;
+    private static final int MOST_TRIES = 10;
+    private static final long AGAIN_NS = 20_000_000L;
     private static final String NO_BODY = "Content-Length: 0\r\n\r\n";
 
     private final Reactor reactor;
@@ -151,8 +153,13 @@
     /** A connection for call-backs. */
     private final class Caller extends Peer {
         private boolean calling;
+        private int tries;
+        private String head;
+        private byte[] text;
 
-        void tell(String head, byte[] text) {
+        void tell(String newHead, byte[] newText) {
+            head = newHead;
+            text = newText;
             calling = true;
             write("POST /callback HTTP/1.1\r\nHost: s\r\nContent-Type: application/json\r\nContent-Length: " + (head.length() + text.length + 2)
                 + "\r\n\r\n" + head + new String(text, StandardCharsets.US_ASCII) + "\"}");
@@ -161,12 +168,21 @@
         @Override
         protected void message(String head, byte[] body) {
             calling = false;
+            tries = 0;
             idle.addFirst(this);
         }
 
         @Override
         protected void ended() {
-            if (calling) {
+            if (calling && ++tries < MOST_TRIES) {
+                // As the protocol has it: each call until it gets an answer, ten times at most.
+                Caller again = new Caller();
+                again.tries = tries;
+                reactor.at(System.nanoTime() + AGAIN_NS, () -> {
+                    reactor.connect(scheduler, again);
+                    again.tell(head, text);
+                });
+            } else if (calling) {
                 dropped++;
             }
         }
--- a/node/src/main/java/hookweir/net/Hop.java
+++ b/node/src/main/java/hookweir/net/Hop.java
@@ -51,13 +51,16 @@
     void start(long withinUs) {
         limit = host.loop().after(withinUs, () -> giveUp(Outcome.TIMEOUT));
         Link got = egress.link(target, this, host.repeatable(exchange) ? SOME_BREAKS : FEW_BREAKS);
-        if (got == null) {
-            over(Outcome.CONNECT_FAILED, null, null);
-        } else if (!over()) {
+        if (got != null && !over()) {
             link = got;
         }
     }
 
+    @Override
+    public void noLink() {
+        over(Outcome.CONNECT_FAILED, null, null);
+    }
+
     /** Ends it before anything of it left: it went to no target. */
     void never(Outcome outcome) {
         over(outcome, null, null);
--- a/node/src/main/java/hookweir/net/Link.java
+++ b/node/src/main/java/hookweir/net/Link.java
@@ -24,6 +24,10 @@
         default void written(Link link) {
         }
 
+        /** No link came free in time; there was none to dial by. Nothing follows. */
+        default void noLink() {
+        }
+
         /** A piece of the answer; the last one ends it. */
         void piece(Link link, Piece piece);
 
--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -40,7 +40,6 @@
  */
 public final class SocketHost implements Contract.Host, Ingress.Handler, Discovery.Listener, Succession.Listener {
     private static final byte[] NOTHING = new byte[0];
-    private static final double EGRESS_SHARE = 0.45;
     /** Beside clients and links: the JVM's own, operators', discovery's, neighbours', and those not yet seen. */
     private static final int OWN_DESCRIPTORS = 48;
     private static final int PROBE_DIAL_LIMITS = 2;
@@ -108,8 +107,8 @@
         heldBytes = config.heldBytes();
         heldJobs = config.heldJobs();
         Dialer dialer = new Dialer(loop, transport);
-        ingress = new Ingress(loop, transport, invariants, room, LEAST_SHARE, this);
-        egress = new Egress(loop, dialer, invariants, config.settings().dialTimeoutUs, config.settings().connIdleUs, LEAST_SHARE);
+        ingress = new Ingress(loop, transport, invariants, room, this::links, this);
+        egress = new Egress(loop, dialer, invariants, config.settings().dialTimeoutUs, config.settings().connIdleUs, room, ingress::size);
         listParser = new ListUpdate.Parser(config.settings().zones, config.settings().kinds, invariants);
         discovery = new Discovery(loop, dialer, config.discovery(), listParser, invariants, this);
         module = new Policy(settings, config.seed(), this);
@@ -190,10 +189,9 @@
     private void share() {
         int processes = 1 + succession.neighbours();
         room.limit(heldBytes / processes, heldJobs / processes);
-        int usable = Math.max(LEAST_SHARE, sockets / processes - OWN_DESCRIPTORS);
-        int links = (int) (usable * EGRESS_SHARE);
-        egress.cap(links);
-        ingress.cap(usable - links);
+        room.descriptors(Math.max(LEAST_SHARE, sockets / processes - OWN_DESCRIPTORS));
+        egress.fit();
+        ingress.fit();
     }
 
     @Override
@@ -276,6 +274,15 @@
 
     // ---- requests ----
 
+    private int links() {
+        return egress == null ? 0 : egress.size();
+    }
+
+    @Override
+    public boolean isJob(String path) {
+        return path.equals("/api") || path.startsWith("/api/");
+    }
+
     @Override
     public int numberOf(String kind) {
         return exchangeParser.numberOf(kind);
@@ -329,7 +336,7 @@
             }
         } else if (request.path().equals("/healthz")) {
             ingress.answer(from, standing.wantsClients() ? 200 : 503, null, NOTHING);
-        } else if (!request.path().equals("/api") && !request.path().startsWith("/api/")) {
+        } else if (!isJob(request.path())) {
             // Classes without a key come to the bare path.
             invariants.count("ingress unknown path");
             ingress.answer(from, 404, null, NOTHING);
@@ -514,9 +521,12 @@
         }
 
         private void dial(double mostBreaks) {
-            if (egress.link(target, this, mostBreaks) == null) {
-                end(Outcome.CONNECT_FAILED, null);
-            }
+            egress.link(target, this, mostBreaks);
+        }
+
+        @Override
+        public void noLink() {
+            end(Outcome.CONNECT_FAILED, null);
         }
 
         private void end(Outcome outcome, Link.Piece last) {
--- a/node/src/main/java/hookweir/net/egress/Egress.java
+++ b/node/src/main/java/hookweir/net/egress/Egress.java
@@ -5,12 +5,17 @@
 import hookweir.net.Invariants;
 import hookweir.net.Link;
 import hookweir.net.Loop;
+import hookweir.room.Room;
+import hookweir.timer.TimerWheel;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntSupplier;
 
 /** The workers' side: owns the egress targets and the links to them, at most so many. Belongs to the loop. */
 public final class Egress {
@@ -25,17 +30,36 @@
     private final Invariants invariants;
     private long dialLimitUs;
     private long idleLimitUs;
-    private int mostLinks;
+    private final Deque<Waiter> waiting = new ArrayDeque<>();
+    private boolean pumping;
+    private final Room room;
+    /** How many connections are accepted. */
+    private final IntSupplier accepted;
     private final Map<Integer, EgressTarget> targets = new HashMap<>();
     private final Set<Link> open = new HashSet<>();
     /** A running mean: the share of kept links that broke under their next call. */
     private double keptBreaks;
 
-    public Egress(Loop loop, Dialer dialer, Invariants invariants, long dialLimitUs, long connIdleUs, int mostLinks) {
+    /** A call that waits for a link. */
+    private static final class Waiter {
+        private final EgressTarget target;
+        private final Link.Handler handler;
+        private final double mostBreaks;
+        private TimerWheel.Timer limit;
+
+        Waiter(EgressTarget target, Link.Handler handler, double mostBreaks) {
+            this.target = target;
+            this.handler = handler;
+            this.mostBreaks = mostBreaks;
+        }
+    }
+
+    public Egress(Loop loop, Dialer dialer, Invariants invariants, long dialLimitUs, long connIdleUs, Room room, IntSupplier accepted) {
         this.loop = loop;
         this.dialer = dialer;
         this.invariants = invariants;
-        this.mostLinks = mostLinks;
+        this.room = room;
+        this.accepted = accepted;
         limits(dialLimitUs, connIdleUs);
     }
 
@@ -89,7 +113,8 @@
      *
      * @param mostBreaks the share of kept links that may break under their next call for one to be used all the
      *     same; 1 where a break does no harm
-     * @return the link that is dialled or ready; null if there is no room for another
+     * @return the link that is dialled or ready; null where it has to wait for one that others use, and is told when it
+     *     gets it, or that it gets none in the time that a dial may take
      */
     public Link link(EgressTarget target, Link.Handler handler, double mostBreaks) {
         while (!target.idle.isEmpty() && keptBreaks <= mostBreaks) {
@@ -102,8 +127,15 @@
             }
             end(link);
         }
-        if (open.size() >= mostLinks && !evict()) {
-            invariants.count("egress out of links");
+        if (!room.mayDial(open.size(), accepted.getAsInt()) && !evict()) {
+            invariants.count("egress waits for a link");
+            Waiter w = new Waiter(target, handler, mostBreaks);
+            waiting.add(w);
+            w.limit = loop.after(dialLimitUs, () -> {
+                waiting.remove(w);
+                invariants.count("egress out of links");
+                handler.noLink();
+            });
             return null;
         }
         invariants.count("egress dials");
@@ -112,10 +144,29 @@
         return link;
     }
 
-    /** So many links at most from now on. */
-    public void cap(int most) {
-        mostLinks = most;
-        while (open.size() > mostLinks && evict()) {
+    /** A link or its place came free: those who wait have it, the first to come first. */
+    private void pump() {
+        pumping = false;
+        for (Waiter w = waiting.peek(); w != null; w = waiting.peek()) {
+            if (w.target.idle.isEmpty() && !room.mayDial(open.size(), accepted.getAsInt()) && !evict()) {
+                return;
+            }
+            waiting.remove();
+            w.limit.cancel();
+            link(w.target, w.handler, w.mostBreaks);
+        }
+    }
+
+    private void freed() {
+        if (!waiting.isEmpty() && !pumping) {
+            pumping = true;
+            loop.post(this::pump);
+        }
+    }
+
+    /** Keeps to the descriptors that there are. */
+    public void fit() {
+        while (!room.mayDial(open.size(), accepted.getAsInt()) && evict()) {
             invariants.count("egress closed at the cap");
         }
     }
@@ -164,7 +215,9 @@
             }
         });
         target.idle.addFirst(link);
-        if (target.idle.size() > MOST_IDLE) {
+        freed();
+        // Links that a busy worker needs all the time are not worth dialling anew for each job.
+        if (target.idle.size() > Math.max(MOST_IDLE, room.mostIdleLinks() / targets.size())) {
             end(target.idle.pollLast());
         }
     }
@@ -173,6 +226,7 @@
     public void end(Link link) {
         link.close();
         open.remove(link);
+        freed();
     }
 
     private void sweep() {
--- a/node/src/main/java/hookweir/net/ingress/Callback.java
+++ b/node/src/main/java/hookweir/net/ingress/Callback.java
@@ -1,5 +1,7 @@
 package hookweir.net.ingress;
 
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
@@ -17,21 +19,40 @@
  */
 public record Callback(String id, String from, String state, double share, byte[] result, JsonNode load) {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final byte[] NOTHING = new byte[0];
 
     /** Reads the body of a call; null where it is no such object. */
     public static Callback parse(byte[] body) {
-        JsonNode o;
-        try {
-            o = JSON.readTree(body);
+        String id = null;
+        String from = null;
+        String state = null;
+        double share = 0;
+        byte[] result = NOTHING;
+        JsonNode load = null;
+        // Field by field: most are short, and a tree of the whole would cost several times their bytes.
+        try (JsonParser in = JSON.createParser(body)) {
+            if (in.nextToken() != JsonToken.START_OBJECT) {
+                return null;
+            }
+            while (in.nextToken() == JsonToken.FIELD_NAME) {
+                String field = in.currentName();
+                boolean text = in.nextToken() == JsonToken.VALUE_STRING;
+                switch (field) {
+                    case "id" -> id = text ? in.getText() : null;
+                    case "from" -> from = text ? in.getText() : null;
+                    case "state" -> state = text ? in.getText() : null;
+                    case "share" -> share = in.getValueAsDouble(0);
+                    case "result" -> result = (text ? in.getText() : in.readValueAsTree().toString()).getBytes(StandardCharsets.UTF_8);
+                    case "load" -> load = in.readValueAsTree();
+                    default -> in.skipChildren();
+                }
+            }
+            if (in.currentToken() != JsonToken.END_OBJECT) {
+                return null;
+            }
         } catch (IOException e) {
             return null;
         }
-        if (o == null || !o.path("id").isTextual() || !o.path("from").isTextual() || !o.path("state").isTextual()) {
-            return null;
-        }
-        JsonNode result = o.path("result");
-        String text = result.isTextual() ? result.textValue() : result.isMissingNode() ? "" : result.toString();
-        return new Callback(o.get("id").textValue(), o.get("from").textValue(), o.get("state").textValue(),
-            o.path("share").asDouble(0), text.getBytes(StandardCharsets.UTF_8), o.get("load"));
+        return id == null || from == null || state == null ? null : new Callback(id, from, state, share, result, load);
     }
 }
--- a/node/src/main/java/hookweir/net/ingress/ExchangeParser.java
+++ b/node/src/main/java/hookweir/net/ingress/ExchangeParser.java
@@ -8,6 +8,8 @@
 /** Makes the module's request of a client's headers. */
 public final class ExchangeParser {
     private static final long MOST_DEADLINE_MS = 24 * 3_600_000L;
+    private static final int MOST_HEX_DIGITS = 16;
+    private static final int MOST_DEADLINE_DIGITS = 9;
     private static final int MOST_ID_CHARS = 128;
 
     private final Map<String, Integer> classes;
@@ -32,7 +34,7 @@
     public Contract.Request parse(IngressRequest.Headers h, String path, int id, long nowUs) throws BadRequest {
         Contract.Request r = new Contract.Request();
         r.id = id;
-        if (h.id() == null || h.id().isEmpty() || h.id().length() > MOST_ID_CHARS || !h.id().matches("[0-9A-Za-z._~-]+")) {
+        if (h.id() == null || h.id().isEmpty() || h.id().length() > MOST_ID_CHARS || !isId(h.id())) {
             throw new BadRequest("Req-Id is missing or malformed");
         }
         int number = numberOf(h.kind());
@@ -81,23 +83,39 @@
         if (slash <= 0 || last.isEmpty()) {
             return 0;
         }
-        try {
-            return Long.parseUnsignedLong(last, 16);
-        } catch (NumberFormatException e) {
-            long hash = 1125899906842597L;
-            for (int i = 0; i < last.length(); i++) {
-                hash = 31 * hash + last.charAt(i);
-            }
-            return hash;
+        long value = 0;
+        long hash = 1125899906842597L;
+        boolean hex = last.length() <= MOST_HEX_DIGITS;
+        for (int i = 0; i < last.length(); i++) {
+            int digit = Character.digit(last.charAt(i), 16);
+            hex &= digit >= 0;
+            value = value << 4 | digit & 0xf;
+            hash = 31 * hash + last.charAt(i);
         }
+        return hex ? value : hash;
     }
 
     /** Plain digits only: a deadline that is guessed at is somebody else's. */
     private static long millis(String text) throws BadRequest {
-        if (!text.matches("[0-9]{1,9}") || Long.parseLong(text) > MOST_DEADLINE_MS) {
+        long ms = text.isEmpty() || text.length() > MOST_DEADLINE_DIGITS ? -1 : 0;
+        for (int i = 0; i < text.length() && ms >= 0; i++) {
+            char c = text.charAt(i);
+            ms = c >= '0' && c <= '9' ? 10 * ms + c - '0' : -1;
+        }
+        if (ms < 0 || ms > MOST_DEADLINE_MS) {
             throw new BadRequest("Req-Deadline-Ms is not a whole number of milliseconds up to a day");
         }
-        return Long.parseLong(text);
+        return ms;
+    }
+
+    private static boolean isId(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (!(c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || "._~-".indexOf(c) >= 0)) {
+                return false;
+            }
+        }
+        return true;
     }
 
     private static long whole(String header, String text, long most) throws BadRequest {
--- a/node/src/main/java/hookweir/net/ingress/Ingress.java
+++ b/node/src/main/java/hookweir/net/ingress/Ingress.java
@@ -17,6 +17,7 @@
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CloseListener;
 import org.glassfish.grizzly.CloseType;
@@ -47,6 +48,9 @@
         /** The request's body counts as held until {@link Ingress#release}. */
         void request(IngressConnection from, IngressRequest request);
 
+        /** This path brings a job. */
+        boolean isJob(String path);
+
         /** The number of a class as clients name it, or -1. */
         int numberOf(String kind);
 
@@ -93,24 +97,28 @@
     private final Invariants invariants;
     private final Room room;
     private final Handler handler;
-    private int mostConnections;
+    /** How many links to workers there are. */
+    private final IntSupplier links;
+    /** Connections that brought a job. */
+    private int clients;
     private final Set<IngressConnection> all = new LinkedHashSet<>();
     /** Those whose body waits for room, in order. */
     private final Set<IngressConnection> waiting = new LinkedHashSet<>();
     private boolean lettingIn;
     private final TCPNIOBindingHandler binding;
     private TCPNIOServerConnection listener;
-    /** Clients are to be let in. Guarded by this. */
+    /** Clients are to be let in; there is no descriptor for another. Both guarded by this. */
     private boolean wanted = true;
+    private boolean full;
     private boolean sendingAway;
     private int writing;
 
-    public Ingress(Loop loop, Transport transport, Invariants invariants, Room room, int mostConnections, Handler handler) {
+    public Ingress(Loop loop, Transport transport, Invariants invariants, Room room, IntSupplier links, Handler handler) {
         this.loop = loop;
         this.transport = transport;
         this.invariants = invariants;
         this.room = room;
-        this.mostConnections = mostConnections;
+        this.links = links;
         this.handler = handler;
         binding = TCPNIOBindingHandler.builder(transport.tcp()).processor(FilterChainBuilder.stateless()
             .add(new TransportFilter()).add(new RequestFilter()).build()).build();
@@ -143,12 +151,12 @@
         turnDoor();
     }
 
-    private void turnDoor() {
+    private synchronized void turnDoor() {
         if (listener == null) {
             return; // the binding is not yet known here
         }
         try {
-            if (wanted) {
+            if (wanted && !full) {
                 listener.enableIOEvent(IOEvent.SERVER_ACCEPT);
             } else {
                 listener.disableIOEvent(IOEvent.SERVER_ACCEPT);
@@ -262,10 +270,19 @@
         return path.equals(CALLBACK);
     }
 
+    /** Clients have all the connections that they may; what is left is for the calls that end their jobs. */
+    private boolean isOneTooMany(IngressConnection c, String path) {
+        return !c.carriesJobs && clients >= room.mostClients() && handler.isJob(path);
+    }
+
     /** Finds room for the body that was announced, or has the connection wait for it with its reading off. */
     private boolean admit(IngressConnection c) {
         int bytes = c.framing.announced();
         c.callback = isCallback(c.framing.path());
+        if (isOneTooMany(c, c.framing.path())) {
+            turnAway(c, c.framing.kind());
+            return true;
+        }
         Room.Verdict verdict = c.callback ? room.result(bytes) : room.body(handler.numberOf(c.framing.kind()), bytes);
         if (verdict == Room.Verdict.TAKE) {
             c.reserved = bytes;
@@ -295,6 +312,9 @@
     }
 
     private void goOn(IngressConnection c) {
+        if (c.deaf) {
+            return; // it was turned away after all
+        }
         waiting.remove(c);
         c.waitsSinceUs = 0;
         c.insideSinceUs = loop.nowUs(); // the time it waited was not its client's
@@ -305,12 +325,12 @@
     }
 
     /** No room was found in time: the client hears so now, as far as its place in the order of answers allows. */
-    private void turnAway(IngressConnection c) {
+    private void turnAway(IngressConnection c, String kind) {
         waiting.remove(c);
         c.waitsSinceUs = 0;
         c.rest = null;
         invariants.count("ingress turned away for room");
-        handler.turnedAway(c.framing.kind());
+        handler.turnedAway(kind);
         drop(c, 0);
         regulate(c);
         unreadable(c, SHED);
@@ -343,26 +363,36 @@
 
     private void opened(IngressConnection c) {
         all.add(c);
-        if (all.size() > mostConnections) {
-            evict(victim(c).orElse(c));
-        }
+        fit();
     }
 
-    /** So many connections at most from now on; those over it go as far as that harms nobody. */
-    public void cap(int most) {
-        mostConnections = most;
-        for (var victim = victim(null); all.size() > most && victim.isPresent(); victim = victim(null)) {
+    /** Keeps to the descriptors that there are: ends connections as far as that harms nobody, and shuts the door else. */
+    public void fit() {
+        int most = room.mostAccepted(links.getAsInt());
+        for (var victim = victim(); all.size() > most && victim.isPresent(); victim = victim()) {
             evict(victim.get());
         }
+        boolean over = all.size() > most || all.size() == most && full;
+        if (over != full) {
+            invariants.count(over ? "ingress door shut" : "ingress door open again");
+            full = over;
+            turnDoor();
+        }
     }
 
-    /** Guards the descriptor limit: the one whose end costs least, of several such the longest unused. */
-    private Optional<IngressConnection> victim(IngressConnection newest) {
+    /**
+     * The one whose end costs least, of several such the longest unused; none where each would lose a job. Those who come
+     * then wait in the kernel: clients with a job under way have their answers first.
+     */
+    private Optional<IngressConnection> victim() {
+        if (all.size() <= room.mostAccepted(links.getAsInt())) {
+            return Optional.empty();
+        }
         long now = loop.nowUs();
         IngressConnection best = null;
-        int least = IngressConnection.NEEDED;
+        int least = IngressConnection.YOUNG;
         for (IngressConnection c : all) {
-            int cost = c == newest ? IngressConnection.NEEDED : c.cost(now);
+            int cost = c.cost(now);
             if (cost < least) {
                 least = cost;
                 best = c;
@@ -381,6 +411,12 @@
     private void closed(IngressConnection c) {
         c.closing = true;
         all.remove(c);
+        if (c.carriesJobs) {
+            clients--;
+        }
+        if (full) {
+            fit();
+        }
         waiting.remove(c);
         c.ahead.forEach(this::release);
         c.ahead.clear();
@@ -398,6 +434,11 @@
             release(request);
             return;
         }
+        if (isOneTooMany(c, request.path())) {
+            release(request);
+            turnAway(c, request.headers().kind());
+            return;
+        }
         c.lastUsedUs = loop.nowUs();
         c.proven = true;
         if (c.current != null) {
@@ -483,7 +524,10 @@
 
     /** Marks what to do if the client leaves before its answer. */
     public void onGone(IngressConnection c, Runnable gone) {
-        c.carriesJobs = true;
+        if (!c.carriesJobs) {
+            c.carriesJobs = true;
+            clients++;
+        }
         c.onGone = gone;
     }
 
@@ -539,6 +583,9 @@
     /** Guards against clients that say nothing, or stop in mid-request, and connections nobody uses any more. */
     private void sweep() {
         long now = loop.nowUs();
+        if (full) {
+            fit();
+        }
         for (IngressConnection c : new ArrayList<>(all)) {
             long inside = c.insideSinceUs;
             boolean slow = inside != 0 ? now - inside > SLOW_US : !c.proven && now - c.openedUs > SLOW_US;
@@ -549,7 +596,7 @@
             }
             if (c.waitsSinceUs != 0) {
                 if (now - c.waitsSinceUs > WAIT_US && !c.callback && !c.closing) {
-                    turnAway(c);
+                    turnAway(c, c.framing.kind());
                 }
                 continue;
             }
--- a/node/src/main/java/hookweir/net/ingress/IngressConnection.java
+++ b/node/src/main/java/hookweir/net/ingress/IngressConnection.java
@@ -8,8 +8,12 @@
 public final class IngressConnection {
     /** The cost of one that is in use. */
     static final int NEEDED = 8;
+    /** The cost of one whose first request may be on the way, and of one on which a request is being written. */
+    static final int YOUNG = 6;
+    private static final int WRITES = 7;
     /** A good client begins its first request sooner than this after connecting... */
     static final long DUE_US = 400_000;
+    private static final long RECENT_US = 1_000_000;
     /** ...and has written any request by this. */
     private static final long WRITTEN_US = 2_200_000;
 
@@ -66,10 +70,15 @@
             return 0; // it had its last word
         } else if (!idle()) {
             return NEEDED;
+        } else if (waitsSinceUs != 0) {
+            return NEEDED; // it is not its client that is slow
         } else if (inside != 0) {
-            return now - inside > WRITTEN_US ? 3 : 7;
+            return now - inside > WRITTEN_US ? 3 : WRITES;
         } else if (!proven) {
-            return now - openedUs > DUE_US ? 1 : 6;
+            return now - openedUs > DUE_US ? 1 : YOUNG;
+        }
+        if ((carriesCallbacks || carriesJobs) && now - lastUsedUs < RECENT_US) {
+            return YOUNG; // its next request may be on the way already
         }
         return carriesCallbacks ? 5 : carriesJobs ? 4 : 2;
     }
