--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # build, test, lint, run: what a newcomer needs
-.PHONY: build test lint run clean
+.PHONY: build test lint run clean lab capacity micro
 
 # deploy/balancer.toml says how the program is built and started; these two follow it.
 build:
@@ -16,3 +16,14 @@
 
 clean:
 	mvn -q clean
+
+# The scheduler has processor 0 to itself; stand-ins and clients take the others.
+lab: build
+	mvn -q -DskipTests -pl lab -am package
+
+capacity: lab
+	taskset -c 1-$$(($$(nproc) - 1)) java -jar lab/target/hookweir-lab.jar capacity $(ARGS)
+
+micro:
+	mvn -q -DskipTests -pl bench -am package
+	java -jar bench/target/hookweir-bench.jar -rf json -rff target/micro.json $(ARGS)
--- a/node/src/main/java/hookweir/net/Loop.java
+++ b/node/src/main/java/hookweir/net/Loop.java
@@ -60,6 +60,11 @@
         return timers.set(nowUs() + Math.max(0, delayUs), task);
     }
 
+    /** Between {@link #run} and {@link #stop}. */
+    boolean isRunning() {
+        return running;
+    }
+
     /** Timers that are set. Owner thread only. */
     int timers() {
         return timers.size();
--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -138,6 +138,7 @@
 
     /** The module is asked here, so that no operator waits for the loop. */
     private void publish() {
+        figures.held(room.bytes(), room.mostBytes(), room.jobs(), room.mostJobs());
         figures.targets(egress.targets(), module.avoided(loop.nowUs()));
         loop.after(PUBLISH_EVERY_US, this::publish);
     }
@@ -211,7 +212,8 @@
     }
 
     private void report() {
-        Log.line("held=" + byName.size() + " ingress=" + ingress.size() + " egress=" + egress.size() + " " + invariants);
+        Log.line("held=" + byName.size() + " ingress=" + ingress.size() + " egress=" + egress.size() + " bytes=" + room.bytes()
+            + " timers=" + loop.timers() + " " + invariants);
         loop.after(LOG_EVERY_US, this::report);
     }
 
--- a/node/src/main/java/hookweir/net/admin/Figures.java
+++ b/node/src/main/java/hookweir/net/admin/Figures.java
@@ -26,6 +26,10 @@
     private final LongAdder reloads = new LongAdder();
     private final LongAdder reloadsRefused = new LongAdder();
     private final AtomicInteger concurrent = new AtomicInteger();
+    private volatile long heldBytes;
+    private volatile long heldBytesMost;
+    private volatile int heldJobs;
+    private volatile int heldJobsMost;
     private volatile int targets;
     private volatile int targetsDisabled;
 
@@ -82,6 +86,14 @@
         targetsDisabled = avoided;
     }
 
+    /** Bytes and jobs held for others, of so many that may be. */
+    public void held(long bytes, long mostBytes, int jobs, int mostJobs) {
+        heldBytes = bytes;
+        heldBytesMost = mostBytes;
+        heldJobs = jobs;
+        heldJobsMost = mostJobs;
+    }
+
     /** All figures, as Prometheus reads them. */
     public String text() {
         StringBuilder out = new StringBuilder();
@@ -94,6 +106,10 @@
         plain(out, "concurrent", "gauge", concurrent.get());
         plain(out, "targets", "gauge", targets);
         plain(out, "targets_disabled", "gauge", targetsDisabled);
+        plain(out, "held_bytes", "gauge", heldBytes);
+        plain(out, "held_bytes_max", "gauge", heldBytesMost);
+        plain(out, "held_jobs", "gauge", heldJobs);
+        plain(out, "held_jobs_max", "gauge", heldJobsMost);
         plain(out, "reload_success_total", "counter", reloads.sum());
         plain(out, "reload_failure_total", "counter", reloadsRefused.sum());
         return out.toString();
--- a/node/src/test/java/hookweir/net/TestNode.java
+++ b/node/src/test/java/hookweir/net/TestNode.java
@@ -25,6 +25,7 @@
     private final String semantics;
     private final long deadlineUs;
     private final boolean probes;
+    private final String limits;
 
     /** The class's semantics: read_like, non_idempotent or idempotency_key. */
     TestNode(String semantics) throws IOException {
@@ -39,8 +40,18 @@
         this(semantics, deadlineUs, probes, null);
     }
 
+    /** With limits of its own, as JSON. */
+    TestNode(String semantics, long deadlineUs, String limits) throws IOException {
+        this(semantics, deadlineUs, false, null, limits);
+    }
+
     /** With a name by which it meets other processes of its scheduler. */
     TestNode(String semantics, long deadlineUs, boolean probes, Path meeting) throws IOException {
+        this(semantics, deadlineUs, probes, meeting, "'sockets':128");
+    }
+
+    private TestNode(String semantics, long deadlineUs, boolean probes, Path meeting, String limits) throws IOException {
+        this.limits = limits;
         this.probes = probes;
         this.semantics = semantics;
         this.deadlineUs = deadlineUs;
@@ -71,7 +82,7 @@
 
     /** The configuration, with discovery at this address. */
     String config(String discovery) {
-        return ("{'listen':'127.0.0.1:0','admin_addr':'127.0.0.1:0','discovery':'" + discovery + "','seed':'1','limits':{'sockets':128},"
+        return ("{'listen':'127.0.0.1:0','admin_addr':'127.0.0.1:0','discovery':'" + discovery + "','seed':'1','limits':{" + limits + "},"
             + "'known':{'version':7,'full':true,'servers':[" + entry("SERVING") + "]},"
             + "'settings':{'classes':[{'name':'render','aim_us':" + deadlineUs / 2 + ",'deadline_us':" + deadlineUs + ",'semantics':'"
             + semantics + "','key_scope':'all','window_us':20000000}],'zones':['a'],'kinds':['m'],"
