Weigh a part of a large fleet for each job; let call-backs through a shut door

Policy weighs 64 workers for a job in a fleet of more than 128, another part for each job; keys and classes that few can do have all of them weighed. The lot for cold workers is drawn only while one may be cold. Rejected: alias tables, as room changes with every job. Reports are read without patterns and exceptions. Clients leave 25% of the accepted connections to call-backs, which take turns while the door is shut; the backlog is 4096. The lab's clients come back when told to, and its workers repeat calls, as the protocol has it.

--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -32,6 +32,7 @@
     private static final long LEAST_GAP_US = 20_000; // between looks at a worker, however many jobs come
     private static final double ABROAD = 0.1; // room abroad counts so much where crossing costs anything
     private static final double NEXT_BY_KEY = 0.2; // room at a key's next worker, of the one before it
+    private static final int SAMPLE = 64; // workers weighed for a job in a fleet of more than twice as many
     private static final int RANKS = 8; // so many workers of a key are told apart...
     private static final double UNRANKED = 1e-6; // ...and room at all others counts next to nothing
     private static final double LEAST_ROOM = 0.5; // less by a fresh figure reads as full
@@ -85,17 +86,19 @@
     private double checksPerRequest;
     private final int[] rankAt = new int[RANKS];
     private final long[] rankHash = new long[RANKS];
-    private int ranked, watchFailures;
+    private final long salt;
+    private int ranked, watchFailures, from, span, fitting;
     private double[] weight = new double[64], kindSlots = {}, kindPace = {};
     private double serviceUs = 1e6, staleUs, lookUs, arrivals, eager = 1;
     private double crossing, meanPace = 1, meanFill = 0.5, meanMs = Double.NaN;
     private long random, arrivalsUs, leaveUs, turnedUs = Long.MIN_VALUE / 2;
-    private boolean started, watching;
+    private boolean started, watching, cooling; // cooling: some worker may be cold
 
     /** A dispatcher at its start; the seed makes its draws differ from those of others. */
     public Policy(Contract.Settings settings, long seed, Contract.Host host) {
         this.host = host;
         random = seed;
+        salt = mix(seed);
         for (RequestClass c : settings.classes) serviceUs = Math.min(serviceUs, c.aimUs);
         crossing = settings.priceCrossZone > 0 ? ABROAD : 1;
         lookUs = staleUs = 4.0 * settings.tickUs;
@@ -172,6 +175,7 @@
     private void restarted(W w, long startedUs) {
         w.startedUs = startedUs;
         w.cold = startedUs > 0;
+        cooling |= w.cold;
         w.busy = w.serviceMs = Double.NaN;
         w.sent = w.bad = w.failures = 0;
         w.asideUntilUs = w.fullUntilUs = 0;
@@ -217,14 +221,17 @@
      * So all dispatchers together send it that share and no more, however full others are or often tried.
      */
     private W coldLot(Job j, long now) {
+        double at = uniform();
+        if (!cooling) return null;
         double sum = 0;
-        boolean any = false;
+        boolean any = cooling = false;
         for (W one : workers) {
+            cooling |= warmth(one, now) < 1;
             one.cold = one.ready && warmth(one, now) < 1;
             any |= one.cold;
             sum += one.ready ? warmth(one, now) * slots(one) : 0;
         }
-        double at = uniform() * sum;
+        at *= sum;
         W w = null;
         for (int i = 0; any && at >= 0 && i < workers.size(); i++) {
             w = workers.get(i);
@@ -522,12 +529,31 @@
 
     // ---- the draw ----
 
-    /** Weights of all workers for this job; their sum, or 0 when all read full (weights are then even). */
+    /**
+     * Weights of workers for this job; their sum, or 0 when all read full (weights are then even). Departure:
+     * of a large fleet a part is weighed, another for each job; for keys, or where too few fit, all are.
+     */
     private double weigh(Job j, long now) {
-        ranked = 0;
+        int all = workers.size();
+        span = all > 2 * SAMPLE && j.r.key == 0 ? SAMPLE : all;
+        from = span < all ? (int) ((mix(8L * j.r.id + j.attempts ^ salt) >>> 33) % all) : 0;
+        double sum = weighSpan(j, now);
+        if (sum > 0 || span == all || fitting >= SAMPLE / 4) return sum;
+        span = all;
+        return weighSpan(j, now);
+    }
+
+    /** The place of the n-th worker of those weighed. */
+    private int at(int n) {
+        return from + n < workers.size() ? from + n : from + n - workers.size();
+    }
+
+    private double weighSpan(Job j, long now) {
+        ranked = fitting = 0;
         boolean late = now > latestStart(j);
         double sum = 0, fills = PRIOR * 0.5, trust = PRIOR, homeFills = PRIOR * 0.5, homeTrust = PRIOR;
-        for (int i = 0; i < workers.size(); i++) {
+        for (int n = 0; n < span; n++) {
+            int i = at(n);
             W w = workers.get(i);
             weight[i] = 0;
             if (!w.ready) continue;
@@ -537,7 +563,9 @@
             trust += w.fresh;
             homeFills += w.e.zone == set.zone ? fill : 0;
             homeTrust += w.e.zone == set.zone ? w.fresh : 0;
-            if (w.cold || now < w.asideUntilUs || now < w.fullUntilUs || !fits(j, w)) continue;
+            if (w.cold || !fits(j, w)) continue;
+            fitting++;
+            if (now < w.asideUntilUs || now < w.fullUntilUs) continue;
             // Departure: a job needs the room that it takes; late work leaves a reserve to what is in time.
             room -= late ? RESERVE * total : 0;
             if (room < LEAST_ROOM * Math.min(1, 4 * w.fresh * w.fresh)) continue;
@@ -556,7 +584,8 @@
         double crowded = Math.max(0, homeFills / homeTrust - meanFill) / Math.max(1 - meanFill, PRIOR);
         crossing = set.priceCrossZone > 0 ? ABROAD + (1 - ABROAD) * Math.min(1, crowded * crowded) : 1;
         if (sum > 0) return j.r.key == 0 ? sum : byKey();
-        for (int i = 0; i < workers.size(); i++) {
+        for (int n = 0; n < span; n++) {
+            int i = at(n);
             W w = workers.get(i);
             weight[i] = !w.ready || w.cold || !fits(j, w) ? 0 : home(w) * (now < w.asideUntilUs ? 0.01 : 1);
         }
@@ -602,10 +631,11 @@
     /** Place of a worker drawn in proportion to the weights; -1 if all are 0. */
     private int draw() {
         double sum = 0;
-        for (int i = 0; i < workers.size(); i++) sum += weight[i];
+        for (int n = 0; n < span; n++) sum += weight[at(n)];
         double at = uniform() * sum;
         int last = -1;
-        for (int i = 0; i < workers.size() && at >= 0; i++) {
+        for (int n = 0; n < span && at >= 0; n++) {
+            int i = at(n);
             if (weight[i] <= 0) continue;
             last = i;
             at -= weight[i];
@@ -614,7 +644,8 @@
     }
 
     private void keepLooked(Job j) {
-        for (int i = 0; i < workers.size(); i++) {
+        for (int n = 0; n < span; n++) {
+            int i = at(n);
             boolean looked = false;
             for (W w : j.looks) looked |= w == workers.get(i) && !w.checkOut;
             weight[i] = looked ? weight[i] : 0;
--- a/core/src/main/java/hookweir/room/Room.java
+++ b/core/src/main/java/hookweir/room/Room.java
@@ -25,7 +25,7 @@
     public static final double LINKS_SHARE = 0.45;
     private static final double LINKS_LEAST = 0.2;
     /** Of accepted connections, what clients may take: the others are workers', whose calls end jobs. */
-    private static final double CLIENTS_SHARE = 0.85;
+    private static final double CLIENTS_SHARE = 0.75;
 
     /** What becomes of something that wants room. */
     public enum Verdict {
--- /dev/null
+++ b/core/src/test/java/hookweir/LargeFleetTest.java
@@ -0,0 +1,84 @@
+package hookweir;
+
+import static hookweir.RecordingHost.settings;
+import static hookweir.RecordingHost.worker;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import hookweir.Contract.Outcome;
+import org.junit.jupiter.api.Test;
+
+/** A part of a large fleet is weighed for each job: the shares over many jobs are those of the whole. */
+class LargeFleetTest {
+    private static final int WORKERS = 1000;
+    private static final int JOBS = 20_000;
+    private static final int FEW = 400;
+
+    private static RecordingHost host(Contract.Settings s) {
+        RecordingHost h = RecordingHost.with(s, 11);
+        Contract.Worker[] fleet = new Contract.Worker[WORKERS];
+        for (int i = 0; i < WORKERS; i++) {
+            fleet[i] = worker(i);
+            fleet[i].kind = i % 250 == 7 ? 1 : 0;
+        }
+        h.fleet(fleet);
+        return h;
+    }
+
+    private static int[] sends(RecordingHost h, Contract.Settings s, boolean heard, int jobs, long gapUs) {
+        int[] to = new int[WORKERS];
+        for (int id = 0; id < jobs; id++) {
+            h.now += gapUs;
+            if (heard && id % 20 == 0) {
+                for (int i = 0; i < WORKERS; i++) {
+                    h.report(i, i % 2 == 0 ? 8 : i % 4 == 1 ? 4 : 0);
+                }
+            }
+            h.take(id, s);
+            int worker = h.sentTo.get(id);
+            to[worker]++;
+            h.policy.outcome(h.now, id, 0, worker, Outcome.OK, 500_000, true, null);
+        }
+        return to;
+    }
+
+    @Test
+    void sharesFollowRoomOverAllOfIt() {
+        Contract.Settings s = settings(Contract.Effect.SAFE);
+        s.probes = false;
+        int[] to = sends(host(s), s, true, JOBS, 10);
+        long roomy = 0;
+        long half = 0;
+        long full = 0;
+        for (int i = 0; i < WORKERS; i++) {
+            roomy += i % 2 == 0 ? to[i] : 0;
+            half += i % 4 == 1 ? to[i] : 0;
+            full += i % 4 == 3 ? to[i] : 0;
+        }
+        assertEquals(0.8, roomy / (double) JOBS, 0.06); // 500 workers of 8 slots, 250 of 4, 250 of none
+        assertEquals(0.2, half / (double) JOBS, 0.06);
+        assertTrue(full < JOBS / 100, "to full workers " + full);
+    }
+
+    @Test
+    void everyWorkerIsReached() {
+        Contract.Settings s = settings(Contract.Effect.SAFE);
+        s.probes = false;
+        int[] to = sends(host(s), s, false, JOBS, 2_000);
+        for (int i = 0; i < WORKERS; i++) {
+            assertTrue(to[i] > 2 && to[i] < 60, "worker " + i + " got " + to[i]);
+        }
+    }
+
+    /** Four of a thousand can do this class: no part may hold one, and then all are looked through. */
+    @Test
+    void theFewThatFitAreFound() {
+        Contract.Settings s = settings(Contract.Effect.SAFE);
+        s.probes = false;
+        s.classes.get(0).kind = 1;
+        int[] to = sends(host(s), s, false, FEW, 4_000_000);
+        for (int i = 0; i < WORKERS; i++) {
+            assertTrue(i % 250 == 7 ? to[i] > FEW / 8 : to[i] == 0, "worker " + i + " got " + to[i]);
+        }
+    }
+}
--- a/lab/src/main/java/hookweir/lab/load/Clients.java
+++ b/lab/src/main/java/hookweir/lab/load/Clients.java
@@ -149,6 +149,8 @@
         private boolean waits;
         /** A kept connection: its end may cross a request, which the protocol lets a client send once more. */
         private boolean kept;
+        /** A refused client comes back when it was told to. */
+        private long againNs = RETRY_NS;
 
         void begin(long meantNs) {
             startNs = meantNs;
@@ -179,6 +181,8 @@
                 default -> seen.failed++;
             }
             boolean ends = head.contains("onnection: close");
+            String wait = status.equals("200") ? null : header(head, "Retry-After");
+            againNs = wait == null ? RETRY_NS : (long) (Double.parseDouble(wait) * 1e9);
             if (ends) {
                 close();
             } else if (plan.perSecond > 0) {
@@ -188,7 +192,7 @@
                 if (status.equals("200")) {
                     begin(System.nanoTime());
                 } else {
-                    reactor.at(System.nanoTime() + RETRY_NS, () -> {
+                    reactor.at(System.nanoTime() + againNs, () -> {
                         if (!stopping && !isClosed() && !waits) {
                             begin(System.nanoTime());
                         }
@@ -215,7 +219,7 @@
                 seen.unanswered++;
             }
             if (!stopping && plan.perSecond <= 0) {
-                reactor.at(System.nanoTime() + RETRY_NS, () -> {
+                reactor.at(System.nanoTime() + againNs, () -> {
                     if (!stopping) {
                         open();
                     }
--- a/lab/src/main/java/hookweir/lab/standin/Fleet.java
+++ b/lab/src/main/java/hookweir/lab/standin/Fleet.java
@@ -169,7 +169,11 @@
         protected void message(String head, byte[] body) {
             calling = false;
             tries = 0;
-            idle.addFirst(this);
+            if (head.contains("onnection: close")) {
+                close();
+            } else {
+                idle.addFirst(this);
+            }
         }
 
         @Override
--- a/node/src/main/java/hookweir/net/Transport.java
+++ b/node/src/main/java/hookweir/net/Transport.java
@@ -25,7 +25,8 @@
     /** The most bytes of a message's headers. */
     public static final int MOST_HEADER_BYTES = 16 * 1024;
     private static final float POOL_SHARE_OF_HEAP = 0.1f;
-    private static final int BACKLOG = 512;
+    /** What waits at a shut door waits here; beyond it the kernel drops, and peers try again only after a second. */
+    private static final int BACKLOG = 4096;
     private static final Logger GRIZZLY = Logger.getLogger("org.glassfish.grizzly");
 
     private final MemoryManager<? extends Buffer> pool;
--- a/node/src/main/java/hookweir/net/egress/LoadReport.java
+++ b/node/src/main/java/hookweir/net/egress/LoadReport.java
@@ -12,6 +12,10 @@
 public final class LoadReport {
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    /** Figures of so many characters have no more digits than a double keeps. */
+    private static final int MOST_PLAIN = 15;
+    private static final double TEN = 10;
+
     private final List<String> fields;
 
     /** The settings name the fields that reports here have; others are passed over. */
@@ -39,15 +43,15 @@
         Report report = new Report();
         report.clear();
         boolean any = false;
-        for (String pair : text.split("[,\\s]+")) {
-            int eq = pair.indexOf('=');
-            if (eq > 0) {
-                try {
-                    any |= set(report, pair.substring(0, eq), Double.parseDouble(pair.substring(eq + 1)));
-                } catch (NumberFormatException e) {
-                    // A figure that is no number counts as absent.
-                    continue;
-                }
+        for (int from = 0, to; from < text.length(); from = to + 1) {
+            to = from;
+            while (to < text.length() && text.charAt(to) != ',' && !Character.isWhitespace(text.charAt(to))) {
+                to++;
+            }
+            int eq = text.indexOf('=', from);
+            if (eq > from && eq < to) {
+                double value = figure(text, eq + 1, to);
+                any |= !Double.isNaN(value) && set(report, text.substring(from, eq), value);
             }
         }
         return any ? report : null;
@@ -67,6 +71,32 @@
         return any ? report : null;
     }
 
+    /** A figure there: plain decimals at once, other forms by the library; NaN where it is no number, and counts as absent. */
+    private static double figure(String text, int from, int to) {
+        long whole = 0;
+        double scale = 0;
+        for (int i = from; i < to; i++) {
+            char c = text.charAt(i);
+            if (c >= '0' && c <= '9' && to - from <= MOST_PLAIN) {
+                whole = 10 * whole + c - '0';
+                scale *= TEN;
+            } else if (c == '.' && scale == 0 && to - from <= MOST_PLAIN) {
+                scale = 1;
+            } else {
+                return byLibrary(text.substring(from, to));
+            }
+        }
+        return to == from ? Double.NaN : scale == 0 ? whole : whole / scale;
+    }
+
+    private static double byLibrary(String text) {
+        try {
+            return Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+
     private boolean set(Report report, String name, double v) {
         return fields.contains(name) && Double.isFinite(v) && ReportFields.set(report, name, v);
     }
--- a/node/src/main/java/hookweir/net/ingress/Ingress.java
+++ b/node/src/main/java/hookweir/net/ingress/Ingress.java
@@ -555,7 +555,8 @@
                 regulate(c);
             });
         }
-        boolean ends = !request.keepAlive() || sendingAway && !c.carriesCallbacks;
+        // While newcomers wait at the door workers take turns: the calls that wait there end jobs too.
+        boolean ends = !request.keepAlive() || (c.carriesCallbacks ? full : sendingAway);
         Message head = head(status, body.length, retryAfter);
         if (ends) {
             c.closing = true;
