--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -663,7 +663,7 @@
         double perS = checksPerRequest * rate * (believed(null) ? TIMED_SHARE : 1);
         double alpha = Math.max(FLOOR_ALPHA, perS / workers.size() / Math.max(meanFill, FLOOR_FILL));
         double fill = Double.isNaN(w.busy) ? 1 : Math.max(FLOOR_FILL, Math.min(1, w.busy / slots(w)));
-        double gap = 1e6 / (fill * alpha) * (0.75 + uniform() / 2);
+        double gap = Math.max(LEAST_GAP_US, 1e6 / (fill * alpha)) * (0.75 + uniform() / 2);
         double left = w.heardUs == 0 ? 0 : w.heardUs + gap - now;
         if (left <= set.tickUs && w.ready) {
             if (checksOn) check(w);
