--- a/lab/src/main/java/hookweir/lab/report/LoadReport.java
+++ b/lab/src/main/java/hookweir/lab/report/LoadReport.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import org.knowm.xchart.BitmapEncoder;
@@ -28,10 +29,11 @@
     }
 
     /** Writes NAME.png: latencies against the rate served. */
-    public static void latencies(Path folder, String name, String title, List<Step> steps) throws IOException {
-        if (steps.isEmpty()) {
+    public static void latencies(Path folder, String name, String title, List<Step> measured) throws IOException {
+        if (measured.isEmpty()) {
             return;
         }
+        List<Step> steps = measured.stream().sorted(Comparator.comparingDouble(Step::goodput)).toList();
         XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(title).xAxisTitle("jobs served a second")
             .yAxisTitle("ms from the intended start").build();
         chart.getStyler().setYAxisLogarithmic(true).setLegendPosition(Styler.LegendPosition.InsideNW);
