--- a/lab/src/main/java/hookweir/lab/Capacity.java
+++ b/lab/src/main/java/hookweir/lab/Capacity.java
@@ -75,6 +75,9 @@
                 held = step.p99() <= mostP99 && step.refusedShare() <= mostRefused && step.failed() == 0 && step.goodput() > 0.97 * rate;
                 best = held ? step.goodput() : best;
             }
+            if (best == 0) {
+                throw new IOException("the first step, " + from + " jobs/s, is beyond the bounds already: begin lower by --from");
+            }
             half = shown(steps, bench.span(plan(best / 2), seconds)).p99();
             Step twice = shown(steps, bench.span(plan(2 * best), 2 * seconds));
             over = twice.goodput() / best;
