Give the lab's load commands one set of options and one bench

capacity and saturate each declared the same nine options and made the same setting of them, so that a new one had to be added twice. LoadCommand has both; names, defaults and help are as before. Rejected: one command with a mode, as the two measure different things.

--- a/lab/src/main/java/hookweir/lab/Capacity.java
+++ b/lab/src/main/java/hookweir/lab/Capacity.java
@@ -15,11 +15,7 @@
 import org.kohsuke.args4j.Option;
 
 /** Steps the rate up until a bound is passed, then offers twice the capacity, and holds it against the bare echo. */
-public final class Capacity extends Main.Command {
-    @Option(name = "--root", usage = "the folder with deploy/balancer.toml")
-    private String root = ".";
-    @Option(name = "--cpu", usage = "the processor that the scheduler and the echo are pinned to; -1 for any")
-    private int cpu;
+public final class Capacity extends LoadCommand {
     @Option(name = "--from", usage = "jobs a second of the first step")
     private double from = 500;
     @Option(name = "--factor", usage = "each step's rate by the one before")
@@ -32,20 +28,6 @@
     private double mostRefused = 0.01;
     @Option(name = "--clients", usage = "client connections at most")
     private int connections = 256;
-    @Option(name = "--workers", usage = "stand-in workers")
-    private int workers = 10;
-    @Option(name = "--service-ms", usage = "how long each job takes")
-    private int serviceMs;
-    @Option(name = "--body", usage = "bytes of a job's body")
-    private int body = 4;
-    @Option(name = "--result", usage = "bytes of a job's result")
-    private int result = 2;
-    @Option(name = "--deadline-ms", usage = "how long clients wait")
-    private long deadlineMs = 5000;
-    @Option(name = "--sockets", usage = "limits.sockets of the scheduler")
-    private int sockets = 1024;
-    @Option(name = "--flags", usage = "further flags of the scheduler's JVM")
-    private String flags = "";
     @Option(name = "--lab-jar", usage = "this lab's jar, which holds the echo")
     private String jar = "lab/target/hookweir-lab.jar";
     @Option(name = "--out", usage = "the folder for the report")
@@ -67,7 +49,7 @@
         double best = 0;
         double half = 0;
         double over;
-        try (Bench bench = new Bench(new Bench.Setting(root, cpu, workers, serviceMs, result, deadlineMs / 2, sockets, flags))) {
+        try (Bench bench = bench()) {
             bench.span(plan(0), seconds); // warms up
             boolean held = true;
             for (double rate = from; held; rate *= factor) {
