Let a job that ends while it looks leave the module's table of lookers

Seen: in review, close() marks a job done but leaves it in `lookers`; only place() takes it out, and place() comes only when every looked-at worker's check is back or the LOOKED timer finds the job open. A job withdrawn or guarded out while looking, one of whose workers is then struck from the list, is never placed: probed() returns at once for an unknown worker and the timer finds no job. Each such case stays for good, and every later check walks past it (Policy.java, close and probed). Shown: PolicyBoundsTest drives 200 such rounds; before the mend 200 jobs stay in `lookers`, after 0. Ruled out: the `jobs` map (emptied as every attempt's outcome comes), a looker whose job is still open (the LOOKED timer places it), and ids near the ends of int (tokens keep the low 32 bits both ways). Rejected: matching checks by worker id in probed(), which keeps a struck worker's check meaningful but leaves withdrawn jobs waiting on the timer.

--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -340,10 +340,8 @@
         j.to[j.attempts++] = w;
         j.startedUs = 0;
         j.out++;
-        if (j.firstRun == null) {
-            j.firstRun = w;
-            j.firstRunUs = now;
-        }
+        j.firstRunUs = j.firstRun == null ? now : j.firstRunUs;
+        j.firstRun = j.firstRun == null ? w : j.firstRun;
         w.sent = known(w, now) + j.slots;
         w.sentUs = now;
         host.send(j.r.id, w.e.id, 0);
@@ -379,6 +377,8 @@
 
     private void close(Job j) {
         j.done = true;
+        // A job that ends while it looks leaves the lookers now: a struck worker's check never places it.
+        lookers.remove(j);
         for (int i = 0; set.cancels && i < j.attempts; i++) {
             if (!j.back[i]) host.cancel(j.r.id, i);
         }
--- /dev/null
+++ b/core/src/test/java/hookweir/PolicyBoundsTest.java
@@ -0,0 +1,58 @@
+package hookweir;
+
+import static hookweir.RecordingHost.settings;
+import static hookweir.RecordingHost.worker;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import hookweir.Contract.Effect;
+import hookweir.Contract.Outcome;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * What the module holds stays bounded after days of churn: each table is read through the field that holds it, as
+ * nothing outside shows its size until memory runs out.
+ */
+final class PolicyBoundsTest {
+    /**
+     * A job that is looking at workers when its client leaves, one of whose workers is then struck from the list:
+     * that worker's check comes back to a module that no longer knows it. The job must still leave the table of
+     * lookers, or each such case stays there for good (and every later check walks past it).
+     */
+    @Test
+    void aJobWithdrawnWhileLookingLeavesTheLookersWhenAWorkerIsStruck() throws ReflectiveOperationException {
+        Contract.Settings s = settings(Effect.SAFE);
+        s.probes = true;
+        RecordingHost h = RecordingHost.with(s, 3);
+        int rounds = 200;
+        for (int round = 0; round < rounds; round++) {
+            int first = 10 * round + 1;
+            h.fleet(worker(first), worker(first + 1), worker(first + 2));
+            for (int w = first; w < first + 3; w++) {
+                h.report(w, 8);
+            }
+            h.pass(1_000_000);
+            h.probes.clear();
+            h.take(round + 1, s);
+            assertTrue(h.probes.size() > 0, "the job looks before it is sent");
+            h.policy.withdrawn(h.now, round + 1);
+            Contract.Worker struck = worker(h.probes.get(0));
+            struck.state = Contract.State.GONE;
+            h.change(struck);
+            for (int w : h.probes) {
+                h.policy.probed(h.now, w, Outcome.OK, 500, RecordingHost.free(8));
+            }
+            h.pass(1_000_000);
+        }
+        assertEquals(0, held(h.policy, "lookers"), "jobs left looking after their end");
+        assertEquals(0, held(h.policy, "jobs"), "jobs held after their end");
+    }
+
+    private static int held(Policy p, String field) throws ReflectiveOperationException {
+        java.lang.reflect.Field f = Policy.class.getDeclaredField(field);
+        f.setAccessible(true);
+        Object table = f.get(p);
+        return table instanceof List<?> list ? list.size() : ((java.util.Map<?, ?>) table).size();
+    }
+}
