--- a/lab/src/main/java/hookweir/lab/Main.java
+++ b/lab/src/main/java/hookweir/lab/Main.java
@@ -27,10 +27,12 @@
     }
 
     @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class,
-        usage = "capacity: how many jobs a second one scheduler serves; saturate: minutes of full load, with memory for each")
+        usage = "capacity: how many jobs a second one scheduler serves; saturate: minutes of full load, with memory for "
+            + "each; check-history: the brief's rules on histories")
     @SubCommands({
         @SubCommand(name = "capacity", impl = Capacity.class),
-        @SubCommand(name = "saturate", impl = Saturate.class)})
+        @SubCommand(name = "saturate", impl = Saturate.class),
+        @SubCommand(name = "check-history", impl = hookweir.lab.check.CheckHistory.class)})
     private Command command;
 
     @Option(name = "--help", aliases = "-h", help = true, usage = "prints this")
