Close the leaving clients of the cancel tests by hand, as lint asks

javac's -Xlint:all, made an error by make lint, warns of an explicit close() on a resource of a try-with-resources; the close is what the two tests are about, so the sockets are no resources now.

--- a/node/src/test/java/hookweir/net/CancelStagesTest.java
+++ b/node/src/test/java/hookweir/net/CancelStagesTest.java
@@ -19,7 +19,8 @@
     /** Being pushed: the worker has the job and has not said 202; the client leaves; DELETE or a closed link. */
     @Test
     void aJobBeingPushedIsCalledOffAndTheNextIsServed() throws Exception {
-        try (TestNode n = new TestNode("read_like"); Socket client = n.connect()) {
+        try (TestNode n = new TestNode("read_like")) {
+            Socket client = n.connect(); // closed by hand: its leaving is the test
             say(client, job("c2"));
             try (Socket w = n.worker.accept()) {
                 assertTrue(hear(w).startsWith("POST /api"));
@@ -34,7 +35,8 @@
     /** Held: after the 202 the client leaves; the worker hears DELETE /jobs/ID, and a late done finds nobody. */
     @Test
     void aJobHeldAfterItsTakingIsCalledOffByDelete() throws Exception {
-        try (TestNode n = new TestNode("read_like"); Socket client = n.connect()) {
+        try (TestNode n = new TestNode("read_like")) {
+            Socket client = n.connect(); // closed by hand: its leaving is the test
             say(client, job("c4"));
             try (Socket w = n.worker.accept()) {
                 assertTrue(hear(w).startsWith("POST /api"));
