--- /dev/null
+++ b/node/src/test/java/hookweir/DeployTest.java
@@ -0,0 +1,53 @@
+package hookweir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * What the whole fleet's days ask of `run` (STANDING.md): it ends by exec in one process, and that process starts
+ * no other program and uses no fork, io_uring, splice or sendfile; a Unix socket only for the hand-over between two
+ * processes of one scheduler, which is asked for by RELAY_FD alone and fails safe where such sockets are refused.
+ */
+final class DeployTest {
+    private static final Path DEPLOY = Path.of("../deploy/balancer.toml");
+    private static final Path SOURCES = Path.of("src/main/java");
+
+    private static String key(String name) throws IOException {
+        return Files.readAllLines(DEPLOY).stream().filter(l -> l.startsWith(name + " = \""))
+            .map(l -> l.substring(name.length() + 4, l.indexOf('"', name.length() + 4))).findFirst().orElseThrow();
+    }
+
+    @Test
+    void runEndsByExecInOneJavaProcess() throws IOException {
+        String run = key("run");
+        assertTrue(run.startsWith("exec java "), run);
+        for (String joint : List.of("&&", "||", ";", "|", "&", "$(", "`")) {
+            assertFalse(run.contains(joint), "run joins commands by " + joint);
+        }
+        assertTrue(run.endsWith(" serve"), run);
+    }
+
+    @Test
+    void theSchedulerStartsNoProgramAndSendsNoFile() throws IOException {
+        try (Stream<Path> files = Files.walk(SOURCES)) {
+            for (Path f : files.filter(p -> p.toString().endsWith(".java")).toList()) {
+                String text = Files.readString(f);
+                for (String call : List.of("ProcessBuilder", "Runtime.getRuntime().exec", "transferTo(", "transferFrom(",
+                        "ProcessHandle")) {
+                    assertFalse(text.contains(call), f + " uses " + call);
+                }
+                boolean unix = text.contains("StandardProtocolFamily.UNIX") || text.contains("UnixDomainSocketAddress");
+                assertEquals(f.endsWith(Path.of("hookweir/net/upgrade/Succession.java")) && unix, unix,
+                    f + " opens a Unix socket outside the hand-over");
+            }
+        }
+    }
+}
