Tidy the review's tests and checker: no copy of a default, names that say what they check

Read over the whole change: PolicyWorld overrode Host.guard with exactly Contract's default (timer), so the override goes; RuleChecker sorted all breaches inside unanswered(), which judges one rule, so the sort moves to check(), where all are gathered; CancelStagesTest's assertServes only asked for the health check, so it is assertGoesOn and the first test no longer claims the next job is served; DeployTest's assertEquals(x && unix, unix) is the plain implication it meant. Left as they are: the empty Host methods shared with the JMH benchmark and the class set-up shaped like RecordingHost's, as they are in other modules with no shared test code and are the interface's own boilerplate.

--- a/lab/src/main/java/hookweir/lab/check/RuleChecker.java
+++ b/lab/src/main/java/hookweir/lab/check/RuleChecker.java
@@ -60,6 +60,7 @@
             endMs = e.atMs();
         }
         c.unanswered(endMs);
+        c.breaches.sort(java.util.Comparator.comparingInt(Breach::line));
         return c.breaches;
     }
 
@@ -154,6 +155,5 @@
                 breaches.add(new Breach("R1 no answer within the deadline", a.ask.line(), a.ask.id()));
             }
         }
-        breaches.sort(java.util.Comparator.comparingInt(Breach::line));
     }
 }
--- a/lab/src/test/java/hookweir/lab/check/PolicyWorld.java
+++ b/lab/src/test/java/hookweir/lab/check/PolicyWorld.java
@@ -207,11 +207,6 @@
         at(now + delayUs, () -> policy.timer(now, token));
     }
 
-    @Override
-    public void guard(int requestId, long token, long delayUs) {
-        timer(token, delayUs);
-    }
-
     @Override
     public void watchList(boolean on) {
     }
--- a/node/src/test/java/hookweir/DeployTest.java
+++ b/node/src/test/java/hookweir/DeployTest.java
@@ -1,6 +1,5 @@
 package hookweir;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -45,7 +44,7 @@
                     assertFalse(text.contains(call), f + " uses " + call);
                 }
                 boolean unix = text.contains("StandardProtocolFamily.UNIX") || text.contains("UnixDomainSocketAddress");
-                assertEquals(f.endsWith(Path.of("hookweir/net/upgrade/Succession.java")) && unix, unix,
+                assertTrue(!unix || f.endsWith(Path.of("hookweir/net/upgrade/Succession.java")),
                     f + " opens a Unix socket outside the hand-over");
             }
         }
--- a/node/src/test/java/hookweir/net/CancelStagesTest.java
+++ b/node/src/test/java/hookweir/net/CancelStagesTest.java
@@ -18,7 +18,7 @@
 
     /** Being pushed: the worker has the job and has not said 202; the client leaves; DELETE or a closed link. */
     @Test
-    void aJobBeingPushedIsCalledOffAndTheNextIsServed() throws Exception {
+    void aJobBeingPushedIsCalledOff() throws Exception {
         try (TestNode n = new TestNode("read_like")) {
             Socket client = n.connect(); // closed by hand: its leaving is the test
             say(client, job("c2"));
@@ -28,7 +28,7 @@
                 String next = hearOrEnd(w);
                 assertTrue(next == null || next.startsWith("DELETE /jobs/c2 HTTP/1.1\r\n"), "after the client left: " + next);
             }
-            assertServes(n, "c2");
+            assertGoesOn(n);
         }
     }
 
@@ -46,7 +46,7 @@
                 assertTrue(hear(w).startsWith("DELETE /jobs/c4 HTTP/1.1\r\n"));
                 assertTrue(n.tell("c4", "s-01", "done").startsWith("HTTP/1.1 2"), "a late done is taken and dropped");
             }
-            assertServes(n, "c4");
+            assertGoesOn(n);
         }
     }
 
@@ -60,7 +60,7 @@
     }
 
     /** The scheduler goes on: it answers its health check, and the client got nothing after it left. */
-    private static void assertServes(TestNode n, String id) throws Exception {
-        assertTrue(n.ask("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").startsWith("HTTP/1.1 200"), "after " + id);
+    private static void assertGoesOn(TestNode n) throws Exception {
+        assertTrue(n.ask("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").startsWith("HTTP/1.1 200"), "it stopped serving");
     }
 }
