Look at further workers where the one looked at is full: no sends on old figures

Checked with a line for each hop, counted over the 14 schedulers: a job sent on a figure under 50 ms old waits over 300 ms in 2 to 3% of cases, one sent on a figure of over 3 s in 30 to 50%, and more than half of all jobs were sent on such figures: each scheduler sees 4 jobs a second and checks 60 workers, so its figures are old, and where the one look found no room the job was drawn over all workers (Policy.place, the second draw). Ruled out: other schedulers sending to the same fresh room (34 of 1,362 fresh sends), dials (no connection failed before the fault).

Change: where those looked at have no room, others are looked at, four times at most, while the job is in time. Eagerness, which held jobs back after slow ends, is taken out to make room: it took slow workers for queues. Rejected: more workers a look, which pays for figures that most jobs don't need.

--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -21,7 +21,7 @@
 public final class Policy implements Contract.Dispatcher {
     // All constants; the rest scales by the settings and by what is seen.
     private static final double CHECK_POINTS = 0.006; // share of the result that checks may cost
-    private static final int MOST_LOOKS = 4; // beyond a few candidates looked at, one more adds little
+    private static final int MOST_LOOKS = 4; // beyond a few candidates, or rounds, one more adds little
     private static final double BELIEVED = 1; // reports older than so many mean jobs can't tell who is full
     private static final double TIMED_SHARE = 0.2; // of the checks stay timed while looks spend the rest
     private static final double FLOOR_FILL = 0.25; // checks get no rarer below: an idle one's crash is found
@@ -48,7 +48,6 @@
     private static final int MOST_ASIDE = 32; // mean jobs that a worker is left alone after failures, at most
     private static final double BEST_PACE = 0.6; // of a job's hint is the least that its run takes anywhere
     private static final long BACK_SOON_US = 300_000; // by then clients come to others than one that leaves
-    private static final double SHYER = 0.95, BOLDER = 0.02, SHYEST = 0.05; // steps and floor of eagerness
 
     private static final int GUARD = 0, AGAIN = 1, LOOKED = 2, CHECK = 3, WATCH = 4;
 
@@ -65,7 +64,7 @@
 
     /** An open request, kept until its last attempt is back. */
     private static final class Job {
-        int attempts, out, looking;
+        int attempts, out, looking, rounds;
         double slots;
         long aimUs, fairUs, firstRunUs, startedUs;
         boolean done, bound, mayHaveRun, waiting;
@@ -89,7 +88,7 @@
     private final long salt;
     private int ranked, watchFailures, from, span, fitting;
     private double[] weight = new double[64], kindSlots = {}, kindPace = {};
-    private double serviceUs = 1e6, staleUs, lookUs, arrivals, eager = 1;
+    private double serviceUs = 1e6, staleUs, lookUs, arrivals;
     private double crossing, meanPace = 1, meanFill = 0.5, meanMs = Double.NaN;
     private long random, arrivalsUs, leaveUs, turnedUs = Long.MIN_VALUE / 2;
     private boolean started, watching, cooling; // cooling: some worker may be cold
@@ -289,16 +288,18 @@
         double room = weigh(j, now);
         if (j.looks != null && room > 0) keepLooked(j);
         int at = draw();
-        if (at < 0 && room > 0 && weigh(j, now) > 0) at = draw();
         boolean inTime = now < latestStart(j);
-        // Departure: while own jobs wait at workers, others look at the same old room: take it less often.
-        boolean shy = inTime && j.looks != null && uniform() > eager;
+        // Departure: where those looked at have no room, others are looked at: few requests, old figures.
+        boolean further = at < 0 && room > 0 && inTime && j.rounds++ < MOST_LOOKS;
+        if (!further && at < 0 && room > 0 && weigh(j, now) > 0) at = draw();
         j.looks = null;
         // Who waited was turned away somewhere; while nobody was here, a short deadline is a client's own.
         boolean calm = meanFill < AMPLE && now - turnedUs > j.in.deadlineUs;
         boolean hurry = room > 0 && now < j.fairUs && calm;
         boolean worthless = !inTime && !hurry && j.in.lateWorth <= 0 && mayRefuse(j);
-        if (at >= 0 && !worthless && !shy && (room > 0 || !believed(j) || !inTime && !mayRefuse(j))) {
+        if (further) {
+            look(j, now);
+        } else if (at >= 0 && !worthless && (room > 0 || !believed(j) || !inTime && !mayRefuse(j))) {
             send(j, workers.get(at), now);
         } else if (inTime) {
             // Departure: while all read full and time is left, the job waits where it can still go anywhere.
@@ -409,7 +410,6 @@
                 kindPace[w.e.kind] = mean(1 + kindPace[w.e.kind], pace) - 1;
                 meanPace = mean(meanPace, pace);
             }
-            eager = pace > 2 ? Math.max(SHYEST, eager * SHYER) : Math.min(1, eager + BOLDER);
         }
         j.mayHaveRun |= !outcome.neverRan;
         j.firstRun = j.out == 0 && !j.mayHaveRun ? null : j.firstRun;
