Expect paces by the list's sizes, let cold workers take their lots, no first check by all

The list tells sizes 5.0, 2.5 and 1.0, which for each slot gives 0.60, 1.2 and 2.0 of a hint; runs took 0.56, 1.15 and 1.8 (medians). A first check is now due as any other (checkDue).

Rejected: learning paces faster from the first outcomes, as a single run is off by up to a factor of two.

--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -124,14 +124,9 @@
         started = true;
         for (int i = 0; !delta && i < workers.size(); i++) workers.get(i).listed = false;
         boolean gone = !delta;
-        int cursor = 0;
         for (Contract.Worker e : entries) {
-            // Entries mostly keep one order, so the next worker is found without the map: lists are long.
-            int at = cursor;
-            while (at < workers.size() && workers.get(at).e.id != e.id) at++;
-            W w = at < workers.size() ? workers.get(at) : byId.get(e.id);
-            if (at < workers.size()) cursor = at + 1;
-            if (w == null) w = added(e);
+            W w = byId.get(e.id);
+            if (w == null) w = added(e, now);
             w.listed = e.state != State.GONE;
             w.ready = e.state == State.READY;
             gone |= !w.listed;
@@ -160,8 +155,9 @@
         return n;
     }
 
-    private W added(Contract.Worker e) {
+    private W added(Contract.Worker e, long now) {
         W w = new W();
+        w.figureUs = now;
         w.e = e;
         w.hash = mix(e.id);
         byId.put(e.id, w);
@@ -220,24 +216,33 @@
      * So all dispatchers together send it that share and no more, however full others are or often tried.
      */
     private W coldLot(Job j, long now) {
-        double at = uniform();
+        double at = uniform(), sum = 0;
         if (!cooling) return null;
-        double sum = 0;
-        boolean any = cooling = false;
+        cooling = false;
         for (W one : workers) {
             cooling |= warmth(one, now) < 1;
             one.cold = one.ready && warmth(one, now) < 1;
-            any |= one.cold;
             sum += one.ready ? warmth(one, now) * slots(one) : 0;
         }
         at *= sum;
         W w = null;
-        for (int i = 0; any && at >= 0 && i < workers.size(); i++) {
+        for (int i = 0; cooling && at >= 0 && i < workers.size(); i++) {
             w = workers.get(i);
             at -= w.ready ? warmth(w, now) * slots(w) : 0;
         }
-        boolean open = any && w.cold && now >= w.asideUntilUs && fits(j, w);
-        return open && slots(w) - busy(w, now) >= j.slots ? w : null;
+        boolean open = w != null && w.cold && now >= w.asideUntilUs && fits(j, w);
+        // It runs slower by what it lacks; nobody sends it more than such lots, so unheard it has room.
+        boolean ends = open && now + j.r.hintUs * pace(w) / warmth(w, now) < j.aimUs;
+        return ends && slots(w) - busy(w, now) >= j.slots ? w : null;
+    }
+
+    /** Departure: a run's expected share of its hint, by the list's size for a slot and as seen of its kind. */
+    private double pace(W w) {
+        return nominal(w) * (1 + kindPace[w.e.kind]);
+    }
+
+    private double nominal(W w) {
+        return set.sizes == Contract.SizeFigure.NOMINAL && w.e.size > 0 ? slots(w) / w.e.size : 1;
     }
 
     /** The share of its capacity that a worker surely has. */
@@ -405,9 +410,10 @@
         j.back[attempt] = true;
         if (outcome == Outcome.OK) {
             serviceUs = mean(serviceUs, elapsedUs);
-            double pace = elapsedUs / (j.r.hintUs > 0 ? j.r.hintUs : serviceUs);
-            if (w != null) {
-                kindPace[w.e.kind] = mean(1 + kindPace[w.e.kind], pace) - 1;
+            double runUs = j.startedUs > 0 ? now - j.startedUs : elapsedUs;
+            double pace = runUs / (j.r.hintUs > 0 ? j.r.hintUs : serviceUs);
+            if (w != null && warmth(w, now) == 1) {
+                kindPace[w.e.kind] = mean(1 + kindPace[w.e.kind], pace / nominal(w)) - 1;
                 meanPace = mean(meanPace, pace);
             }
         }
@@ -469,9 +475,7 @@
         if (report != null) take(w, report, now);
         for (int i = lookers.size() - 1; i >= 0; i--) {
             Job j = lookers.get(i);
-            boolean waits = false;
-            for (W looked : j.looks) waits |= looked == w;
-            if (waits && --j.looking == 0) place(j, now);
+            if (Arrays.asList(j.looks).contains(w) && --j.looking == 0) place(j, now);
         }
     }
 
@@ -524,7 +528,7 @@
         boolean unheard = Double.isNaN(w.busy);
         w.fresh = unheard ? 0 : fade(now - w.heardUs + (long) (staleUs / 2), serviceUs);
         double figure = unheard ? 0 : w.busy * w.fresh;
-        return figure + slots(w) * meanFill * (1 - w.fresh) + known(w, now);
+        return figure + slots(w) * (w.cold ? 0 : meanFill) * (1 - w.fresh) + known(w, now);
     }
 
     // ---- the draw ----
@@ -571,10 +575,10 @@
             if (room < LEAST_ROOM * Math.min(1, 4 * w.fresh * w.fresh)) continue;
             room = Math.max(room - (j.slots - 1), room * 0.1);
             // Departure: room counts by the worker's speed as reports tell it, else by its kind's as seen.
-            room *= Math.min(2, w.serviceMs > 0 ? meanMs / w.serviceMs : meanPace / (1 + kindPace[w.e.kind]));
+            room *= Math.min(2, w.serviceMs > 0 ? meanMs / w.serviceMs : meanPace / pace(w));
             room *= blame(w, now) < EXCUSED ? 1 : 1 - blame(w, now);
             // Departure: a heavy job goes where its run can still end in time: slow cores outlast its client.
-            double run = j.r.hintUs * Math.max(1, 1 + kindPace[w.e.kind]);
+            double run = j.r.hintUs * pace(w);
             room *= run > HEAVY * serviceUs && now + run > j.aimUs ? TOO_SLOW : 1;
             weight[i] = Math.max(0, room * home(w));
             sum += weight[i];
@@ -645,10 +649,8 @@
 
     private void keepLooked(Job j) {
         for (int n = 0; n < span; n++) {
-            int i = at(n);
-            boolean looked = false;
-            for (W w : j.looks) looked |= w == workers.get(i) && !w.checkOut;
-            weight[i] = looked ? weight[i] : 0;
+            W w = workers.get(at(n));
+            if (w.checkOut || !Arrays.asList(j.looks).contains(w)) weight[at(n)] = 0;
         }
     }
 
@@ -664,7 +666,7 @@
         double alpha = Math.max(FLOOR_ALPHA, perS / workers.size() / Math.max(meanFill, FLOOR_FILL));
         double fill = Double.isNaN(w.busy) ? 1 : Math.max(FLOOR_FILL, Math.min(1, w.busy / slots(w)));
         double gap = Math.max(LEAST_GAP_US, 1e6 / (fill * alpha)) * (0.75 + uniform() / 2);
-        double left = w.heardUs == 0 ? 0 : w.heardUs + gap - now;
+        double left = Math.max(w.heardUs, w.figureUs) + gap - now;
         if (left <= set.tickUs && w.ready) {
             if (checksOn) check(w);
             left = gap;
--- /dev/null
+++ b/core/src/test/java/hookweir/ManyDispatchersTest.java
@@ -0,0 +1,103 @@
+package hookweir;
+
+import static hookweir.RecordingHost.settings;
+import static hookweir.RecordingHost.worker;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import hookweir.Contract.Effect;
+import org.junit.jupiter.api.Test;
+
+/** What each of many dispatchers does for itself, summed over all; and what one that sees few requests knows at once. */
+final class ManyDispatchersTest {
+    private static final int DISPATCHERS = 14;
+    private static final int WORKERS = 60;
+    private static final int SEEDS = 400;
+
+    private static Contract.Settings probing(Effect effect) {
+        Contract.Settings s = settings(effect);
+        s.probes = true;
+        s.reports = Contract.ReportsBy.PROBES;
+        s.priceProbe = 0.01;
+        return s;
+    }
+
+    private static Contract.Worker sized(int id, int kind, double size) {
+        Contract.Worker w = worker(id);
+        w.kind = kind;
+        w.size = size;
+        return w;
+    }
+
+    @Test
+    void atAStartWorkersAreNotCheckedByEveryDispatcher() {
+        int checks = 0;
+        for (int d = 0; d < DISPATCHERS; d++) {
+            RecordingHost h = RecordingHost.with(probing(Effect.SAFE), 100 + d);
+            Contract.Worker[] fleet = new Contract.Worker[WORKERS];
+            for (int w = 0; w < WORKERS; w++) {
+                fleet[w] = worker(w);
+            }
+            h.fleet(fleet);
+            h.pass(5_000_000);
+            checks += h.probes.size();
+        }
+        assertTrue(checks < DISPATCHERS * WORKERS / 4, checks + " checks of " + WORKERS + " idle workers in 5 s");
+    }
+
+    @Test
+    void aHeavyJobGoesToTheFastKindBeforeAnyOutcome() {
+        Contract.Settings s = settings(Effect.SAFE);
+        s.sizes = Contract.SizeFigure.NOMINAL;
+        s.classes.get(0).stretch = 1.5;
+        int fast = 0;
+        for (int seed = 0; seed < SEEDS; seed++) {
+            RecordingHost h = RecordingHost.with(s, seed);
+            h.fleet(sized(1, 0, 4), sized(2, 1, 2));
+            h.report(1, 4);
+            h.report(2, 4);
+            Contract.Request r = h.request(1, s);
+            r.hintUs = 3_000_000; // twice as long on the slow kind: 6 s, and 5.5 s are wanted
+            h.policy.request(h.now, r);
+            fast += h.sentTo.get(0) == 1 ? 1 : 0;
+        }
+        assertTrue(fast > 0.9 * SEEDS, "sent to the fast kind: " + fast + " of " + SEEDS);
+    }
+
+    /** Shares of jobs that go to a cold worker nobody has heard, beside a warm one that is full. */
+    private static double toCold(long hintUs, long afterUs) {
+        Contract.Settings s = settings(Effect.SAFE);
+        s.coldShare = 0.25;
+        int cold = 0;
+        for (int seed = 0; seed < SEEDS; seed++) {
+            RecordingHost h = RecordingHost.with(s, seed);
+            Contract.Worker started = worker(2);
+            started.startedAtUs = h.now;
+            h.fleet(worker(1), started);
+            h.pass(afterUs);
+            h.report(1, 4);
+            h.report(1, 0);
+            Contract.Request before = h.request(1, s);
+            before.hintUs = 800_000; // too long for the cold one: held, and the fleet known to be full
+            h.policy.request(h.now, before);
+            h.sentTo.clear();
+            Contract.Request r = h.request(2, s);
+            r.hintUs = hintUs;
+            h.policy.request(h.now, r);
+            cold += !h.sentTo.isEmpty() && h.sentTo.get(0) == 2 ? 1 : 0;
+        }
+        return cold / (double) SEEDS;
+    }
+
+    @Test
+    void aColdWorkerThatNobodyHeardTakesItsShareWhileTheOthersAreFull() {
+        assertEquals(0.2, toCold(100_000, 0), 0.06); // 0.25 of 1.25
+        assertEquals(0.385, toCold(100_000, 5_000_000), 0.08); // 0.625 of 1.625
+    }
+
+    @Test
+    void aColdWorkerGetsNoJobThatItsSlowRunWouldMakeLate() {
+        assertEquals(0, toCold(300_000, 0)); // four times as long: 1.2 s of 1 s
+        assertTrue(toCold(300_000, 5_000_000) > 0.2, "warm enough for it by then");
+    }
+}
