--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -236,7 +236,7 @@
         return ends && slots(w) - busy(w, now) >= j.slots ? w : null;
     }
 
-    /** Departure: a run's expected share of its hint, by the list's size for a slot and as seen of its kind. */
+    /** Departure: a run's pace, of its hint, by the list's size for a slot and as its kind was seen. */
     private double pace(W w) {
         return nominal(w) * (1 + kindPace[w.e.kind]);
     }
