Leave out workers that fail their checks or tell of errors, before jobs find them

Ruled out: slow looks (99 in 100 checks end in 57 ms, links included); stray errors (no other worker told any, in 2,203 reports).

Change: a check that ends in an error sets the worker aside; reports of errors beyond 0.05 a slot in a mean job's time, and half as many again as the mean, leave it out of the draw. All kinds of jobs, not the heavy ones alone, keep off a kind whose pace makes them late. Rejected: blame for all schedulers' errors at once, as a shared slow dependency would shut the whole fleet out.

--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -36,8 +36,8 @@
     private static final int RANKS = 8; // so many workers of a key are told apart...
     private static final double UNRANKED = 1e-6; // ...and room at all others counts next to nothing
     private static final double LEAST_ROOM = 0.5; // less by a fresh figure reads as full
-    private static final double HEAVY = 2; // mean jobs from which a job is heavy and its run is looked at
-    private static final double TOO_SLOW = 0.1; // room at a worker whose pace ends a heavy job after its aim
+    private static final double TOO_SLOW = 0.1; // room at a worker whose pace ends a job after its aim
+    private static final double ERRING = 0.05; // errors in a mean job's time, for each slot: it is left out
     private static final double AMPLE = 0.75; // fill up to which a guess that a job is late is doubted
     private static final double RESERVE = 0.25; // of a worker is left free by work that is late already
     private static final double PRIOR = 0.01; // worker at half fill in the mean, for want of figures
@@ -58,7 +58,7 @@
         boolean ready, cold, listed, checkOut;
         long hash, startedUs, heardUs, sentUs, figureUs, fullUntilUs, asideUntilUs;
         double busy = Double.NaN, serviceMs = Double.NaN;
-        double free, utilization, sizeMax, sent, fresh, bad;
+        double free, utilization, sizeMax, sent, fresh, bad, errors;
         long badUs;
     }
 
@@ -89,7 +89,7 @@
     private int ranked, watchFailures, from, span, fitting;
     private double[] weight = new double[64], kindSlots = {}, kindPace = {};
     private double serviceUs = 1e6, staleUs, lookUs, arrivals;
-    private double crossing, meanPace = 1, meanFill = 0.5, meanMs = Double.NaN;
+    private double crossing, meanPace = 1, meanFill = 0.5, meanErrors, meanMs = Double.NaN;
     private long random, arrivalsUs, leaveUs, turnedUs = Long.MIN_VALUE / 2;
     private boolean started, watching, cooling; // cooling: some worker may be cold
 
@@ -123,13 +123,11 @@
         }
         started = true;
         for (int i = 0; !delta && i < workers.size(); i++) workers.get(i).listed = false;
-        boolean gone = !delta;
         for (Contract.Worker e : entries) {
             W w = byId.get(e.id);
             if (w == null) w = added(e, now);
             w.listed = e.state != State.GONE;
             w.ready = e.state == State.READY;
-            gone |= !w.listed;
             w.e = e;
             if (e.kind >= kindSlots.length) {
                 kindSlots = Arrays.copyOf(kindSlots, 2 * e.kind + 8);
@@ -144,7 +142,7 @@
             }
         }
         // Rule 3: a worker that is gone, or missing from a whole list, is out of every draw from now on.
-        if (gone) workers.removeIf(w -> !w.listed && byId.remove(w.e.id, w));
+        workers.removeIf(w -> !w.listed && byId.remove(w.e.id, w));
         if (weight.length < workers.size()) weight = new double[2 * workers.size()];
     }
 
@@ -172,7 +170,7 @@
         w.cold = startedUs > 0;
         cooling |= w.cold;
         w.busy = w.serviceMs = Double.NaN;
-        w.sent = w.bad = w.failures = 0;
+        w.sent = w.bad = w.errors = w.failures = 0;
         w.asideUntilUs = w.fullUntilUs = 0;
     }
 
@@ -238,11 +236,8 @@
 
     /** Departure: a run's pace, of its hint, by the list's size for a slot and as its kind was seen. */
     private double pace(W w) {
-        return nominal(w) * (1 + kindPace[w.e.kind]);
-    }
-
-    private double nominal(W w) {
-        return set.sizes == Contract.SizeFigure.NOMINAL && w.e.size > 0 ? slots(w) / w.e.size : 1;
+        boolean sized = set.sizes == Contract.SizeFigure.NOMINAL && w.e.size > 0;
+        return (sized ? slots(w) / w.e.size : 1) * (1 + kindPace[w.e.kind]);
     }
 
     /** The share of its capacity that a worker surely has. */
@@ -413,7 +408,7 @@
             double runUs = j.startedUs > 0 ? now - j.startedUs : elapsedUs;
             double pace = runUs / (j.r.hintUs > 0 ? j.r.hintUs : serviceUs);
             if (w != null && warmth(w, now) == 1) {
-                kindPace[w.e.kind] = mean(1 + kindPace[w.e.kind], pace / nominal(w)) - 1;
+                kindPace[w.e.kind] = (1 + kindPace[w.e.kind]) * mean(1, pace / pace(w)) - 1;
                 meanPace = mean(meanPace, pace);
             }
         }
@@ -429,7 +424,7 @@
         return old + GAIN * (Math.min(sample, 4 * old) - old);
     }
 
-    /** A worker out of reach is set aside, longer each time; it is back once it answers. */
+    /** A worker out of reach, or not well by its check, is set aside, longer each time, until it answers. */
     private void judge(W w, Outcome outcome, long now) {
         if (outcome == Outcome.OK || outcome == Outcome.FULL) {
             w.failures = 0;
@@ -470,7 +465,7 @@
         W w = byId.get(workerId);
         if (w == null) return;
         w.checkOut = false;
-        judge(w, outcome, now);
+        judge(w, outcome == Outcome.ERROR ? Outcome.RESET : outcome, now);
         if (outcome == Outcome.OK) lookUs = mean(lookUs, elapsedUs);
         if (report != null) take(w, report, now);
         for (int i = lookers.size() - 1; i >= 0; i--) {
@@ -492,6 +487,7 @@
         } else {
             w.figureUs = now;
         }
+        w.errors = r.errorsPerS > 0 ? r.errorsPerS * serviceUs / 1e6 / slots(w) : 0;
         w.utilization = r.utilization;
         w.free = r.free;
         if (r.serviceMs > 0) {
@@ -555,7 +551,7 @@
     private double weighSpan(Job j, long now) {
         ranked = fitting = 0;
         boolean late = now > latestStart(j);
-        double sum = 0, fills = PRIOR * 0.5, trust = PRIOR, homeFills = PRIOR * 0.5, homeTrust = PRIOR;
+        double sum = 0, errors = 0, fills = PRIOR * 0.5, trust = PRIOR, homeFills = fills, homeTrust = trust;
         for (int n = 0; n < span; n++) {
             int i = at(n);
             W w = workers.get(i);
@@ -567,9 +563,12 @@
             trust += w.fresh;
             homeFills += w.e.zone == set.zone ? fill : 0;
             homeTrust += w.e.zone == set.zone ? w.fresh : 0;
+            errors += w.errors * w.fresh;
             if (w.cold || !fits(j, w)) continue;
             fitting++;
             if (now < w.asideUntilUs || now < w.fullUntilUs) continue;
+            // Departure: one whose reports tell of errors, more than the others' do, is left out.
+            if (w.errors * w.fresh > Math.max(ERRING, 1.5 * meanErrors)) continue;
             // Departure: a job needs the room that it takes; late work leaves a reserve to what is in time.
             room -= late ? RESERVE * total : 0;
             if (room < LEAST_ROOM * Math.min(1, 4 * w.fresh * w.fresh)) continue;
@@ -578,13 +577,13 @@
             room *= Math.min(2, w.serviceMs > 0 ? meanMs / w.serviceMs : meanPace / pace(w));
             room *= blame(w, now) < EXCUSED ? 1 : 1 - blame(w, now);
             // Departure: a heavy job goes where its run can still end in time: slow cores outlast its client.
-            double run = j.r.hintUs * pace(w);
-            room *= run > HEAVY * serviceUs && now + run > j.aimUs ? TOO_SLOW : 1;
+            room *= now + j.r.hintUs * pace(w) > j.aimUs ? TOO_SLOW : 1;
             weight[i] = Math.max(0, room * home(w));
             sum += weight[i];
             if (j.r.key != 0 && weight[i] > 0) rank(i, mix(j.r.key ^ w.hash));
         }
         meanFill = fills / trust;
+        meanErrors = errors / trust;
         double crowded = Math.max(0, homeFills / homeTrust - meanFill) / Math.max(1 - meanFill, PRIOR);
         crossing = set.priceCrossZone > 0 ? ABROAD + (1 - ABROAD) * Math.min(1, crowded * crowded) : 1;
         if (sum > 0) return j.r.key == 0 ? sum : byKey();
--- a/core/src/test/java/hookweir/OldFiguresTest.java
+++ b/core/src/test/java/hookweir/OldFiguresTest.java
@@ -56,4 +56,46 @@
             assertEquals(5, looksAndTarget(0, seed)[0], "the first look and four further ones, seed " + seed);
         }
     }
+
+    /** Shares of jobs, over seeds, that go to worker 0 of two that both had room when last heard; it is looked at. */
+    private static int sentToFirst(Contract.Outcome check, double errorsFirst, double errorsSecond) {
+        int first = 0;
+        for (int seed = 0; seed < SEEDS; seed++) {
+            Contract.Settings s = settings(Effect.SAFE);
+            s.probes = true;
+            s.reports = Contract.ReportsBy.PROBES;
+            s.priceProbe = 0.01;
+            RecordingHost h = RecordingHost.with(s, seed);
+            h.fleet(worker(0), worker(1));
+            answer(h, 0, Contract.Outcome.OK, errorsFirst);
+            answer(h, 1, Contract.Outcome.OK, errorsSecond);
+            h.pass(200_000);
+            h.probes.clear();
+            h.take(1, s);
+            for (int i = 0; i < h.probes.size(); i++) {
+                boolean toFirst = h.probes.get(i) == 0;
+                answer(h, h.probes.get(i), toFirst ? check : Contract.Outcome.OK, toFirst ? errorsFirst : errorsSecond);
+            }
+            first += !h.sentTo.isEmpty() && h.sentTo.get(0) == 0 ? 1 : 0;
+        }
+        return first;
+    }
+
+    @Test
+    void aWorkerWhoseCheckEndsInAnErrorGetsNoJob() {
+        assertEquals(0, sentToFirst(Contract.Outcome.ERROR, 0, 0));
+    }
+
+    @Test
+    void aWorkerThatTellsOfErrorsIsLeftOutUnlessTheOthersTellOfAsMany() {
+        assertEquals(0, sentToFirst(Contract.Outcome.OK, 2, 0));
+        assertEquals(0.5, sentToFirst(Contract.Outcome.OK, 2, 2) / (double) SEEDS, 0.12);
+        assertEquals(0.5, sentToFirst(Contract.Outcome.OK, 0.002, 0) / (double) SEEDS, 0.12, "a stray error is none");
+    }
+
+    private static void answer(RecordingHost h, int worker, Contract.Outcome check, double errors) {
+        Contract.Report r = RecordingHost.free(4);
+        r.errorsPerS = errors;
+        h.policy.probed(h.now, worker, check, 500, check == Contract.Outcome.OK ? r : null);
+    }
 }
