Give cold workers lots by capacity, two thirds of what would push them over, for short jobs

Lots went by slots, and since jobs that would be late on a cold worker are passed on, only a third of what falls on one is sent. Checked: rule 4's budget. Of the lots only jobs go there whose run, slowed, ends in time, at most a few seconds of the worker's present capacity; ManyDispatchersTest plays 14 dispatchers at a full fleet for 20 s and sums the work sent. Rejected: cold workers in the ordinary draw where a check shows room: how often a job is tried would add to the sum (rule 4).

--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -37,6 +37,7 @@
     private static final double UNRANKED = 1e-6; // ...and room at all others counts next to nothing
     private static final double LEAST_ROOM = 0.5; // less by a fresh figure reads as full
     private static final double TOO_SLOW = 0.1; // room at a worker whose pace ends a job after its aim
+    private static final double COLD_LOTS = 0.67; // for a cold worker, of the multiple that pushes it over
     private static final double ERRING = 0.05; // errors in a mean job's time, for each slot: it is left out
     private static final double AMPLE = 0.75; // fill up to which a guess that a job is late is doubted
     private static final double RESERVE = 0.25; // of a worker is left free by work that is late already
@@ -81,7 +82,7 @@
     private final Map<Integer, Job> jobs = new HashMap<>();
     private final List<W> workers = new ArrayList<>();
     private final List<Job> lookers = new ArrayList<>();
-    private boolean live, checksOn;
+    private boolean checksOn;
     private double checksPerRequest;
     private final int[] rankAt = new int[RANKS];
     private final long[] rankHash = new long[RANKS];
@@ -110,7 +111,6 @@
         checksOn = settings.probes && settings.reports != Contract.ReportsBy.NEVER;
         double checks = CHECK_POINTS / Math.max(settings.priceProbe, 1e-9);
         checksPerRequest = Math.max(1, Math.min(MOST_LOOKS, checks));
-        live = settings.sizes == Contract.SizeFigure.LIVE;
     }
 
     // ---- the list of workers ----
@@ -134,7 +134,7 @@
                 kindPace = Arrays.copyOf(kindPace, 2 * e.kind + 8);
             }
             if (e.startedAtUs != w.startedUs) restarted(w, e.startedAtUs);
-            if (live && e.size > 0) {
+            if (set.sizes == Contract.SizeFigure.LIVE && e.size > 0) {
                 // Departure: where the list's size figure falls with the requests held, it is a report too.
                 w.sizeMax = Math.max(w.sizeMax, e.size);
                 staleUs += w.heardUs == 0 ? 0 : GAIN / 10 * (now - w.heardUs - staleUs);
@@ -210,24 +210,24 @@
 
     /**
      * Rule 4, a departure while any worker is cold: these are out of the draw. Each first try draws a lot
-     * over the fleet by the share of capacity that each surely has; falls it on a cold worker, it goes there.
-     * So all dispatchers together send it that share and no more, however full others are or often tried.
+     * over the fleet by the capacity that each surely has; falls it on a cold worker, it goes there. So all
+     * together send it that share and no more, however full others are or often tried. Cold ones count for
+     * more than once: of what falls on them only jobs that end in time at their present pace go there.
      */
     private W coldLot(Job j, long now) {
-        double at = uniform(), sum = 0;
         if (!cooling) return null;
         cooling = false;
-        for (W one : workers) {
-            cooling |= warmth(one, now) < 1;
-            one.cold = one.ready && warmth(one, now) < 1;
-            sum += one.ready ? warmth(one, now) * slots(one) : 0;
-        }
-        at *= sum;
-        W w = null;
-        for (int i = 0; cooling && at >= 0 && i < workers.size(); i++) {
-            w = workers.get(i);
-            at -= w.ready ? warmth(w, now) * slots(w) : 0;
+        from = 0;
+        span = workers.size();
+        for (int i = 0; i < span; i++) {
+            W w = workers.get(i);
+            cooling |= warmth(w, now) < 1;
+            w.cold = w.ready && warmth(w, now) < 1;
+            double lots = w.cold ? Math.max(1, COLD_LOTS * set.fallMultiple) : 1;
+            weight[i] = w.ready ? lots * warmth(w, now) * slots(w) / pace(w) : 0;
         }
+        int at = draw();
+        W w = at < 0 ? null : workers.get(at);
         boolean open = w != null && w.cold && now >= w.asideUntilUs && fits(j, w);
         // It runs slower by what it lacks; nobody sends it more than such lots, so unheard it has room.
         boolean ends = open && now + j.r.hintUs * pace(w) / warmth(w, now) < j.aimUs;
