Watch the agent of a pushed list from the start: it was never read on sockets

Checked and ruled out: the reload (settings adopted, logged) and the drain call (clients sent away and welcomed once each). At fault: only Policy starts the watch, and only where the list is to be asked for; SocketHost.start did nothing where it is pushed.

Change: SocketHost watches the agent at its start; a failed watch goes the way of every other. PushedListTest fails before the change (nobody calls). Where lists are asked for nothing changes.

--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -125,6 +125,10 @@
         discovery.seeded(known.version());
         told(new ListUpdate(known.version(), true, known.entries()));
         egress.start();
+        if (!settings.askForList) {
+            // A list that is pushed lies with an agent on this machine, and counts as told whether it was read or not.
+            discovery.watch(true);
+        }
         if (waits) {
             // The list as last held may be old, and nothing waits for this process yet: the present one comes first.
             discovery.fetch();
--- /dev/null
+++ b/node/src/test/java/hookweir/net/PushedListTest.java
@@ -0,0 +1,52 @@
+package hookweir.net;
+
+import static hookweir.net.TestNode.hear;
+import static hookweir.net.TestNode.say;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import org.junit.jupiter.api.Test;
+
+/** Lists that are pushed lie with an agent on the own machine: what it holds counts as told, though it calls nobody. */
+final class PushedListTest {
+    private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    /** One line of the watch, as the agent sends it. */
+    private static void line(Socket agent, String json) throws IOException {
+        String text = json.replace('\'', '"') + "\n";
+        say(agent, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+    }
+
+    @Test
+    void theAgentIsWatchedFromTheStartAndWhatItTellsHolds() throws Exception {
+        try (TestNode n = TestNode.pushed()) {
+            try (Socket agent = n.list.accept()) {
+                assertTrue(hear(agent).startsWith("GET /v1/servers?watch=1&after=7 HTTP/1.1\r\n"));
+                say(agent, CHUNKED);
+                line(agent, "{'version':8,'full':false,'servers':[" + n.entry("DRAINING") + "]}");
+                n.awaitCount("list updates", 2);
+                // Its only worker drains: the job is not sent there, and is answered.
+                String answer = n.ask(TestNode.post("/api", "Req-Id: p1\r\nReq-Kind: render\r\nReq-Deadline-Ms: 50\r\n", "work"));
+                assertTrue(answer.startsWith("HTTP/1.1 429"), answer);
+                assertEquals(0, n.node.invariants().counted("egress dials"));
+            }
+        }
+    }
+
+    @Test
+    void anAgentThatWentAwayIsWatchedAgainFromWhereItStood() throws Exception {
+        try (TestNode n = TestNode.pushed()) {
+            try (Socket agent = n.list.accept()) {
+                hear(agent);
+                say(agent, CHUNKED);
+                line(agent, "{'version':9,'full':true,'servers':[" + n.entry("SERVING") + "]}");
+                n.awaitCount("list updates", 2);
+            }
+            try (Socket agent = n.list.accept()) {
+                assertTrue(hear(agent).startsWith("GET /v1/servers?watch=1&after=9 HTTP/1.1\r\n"));
+            }
+        }
+    }
+}
--- a/node/src/test/java/hookweir/net/TestNode.java
+++ b/node/src/test/java/hookweir/net/TestNode.java
@@ -26,6 +26,7 @@
     private final long deadlineUs;
     private final boolean probes;
     private final String limits;
+    private final String listMode;
 
     /** The class's semantics: read_like, non_idempotent or idempotency_key. */
     TestNode(String semantics) throws IOException {
@@ -42,16 +43,23 @@
 
     /** With limits of its own, as JSON. */
     TestNode(String semantics, long deadlineUs, String limits) throws IOException {
-        this(semantics, deadlineUs, false, null, limits);
+        this(semantics, deadlineUs, false, null, limits, "ask");
     }
 
     /** With a name by which it meets other processes of its scheduler. */
     TestNode(String semantics, long deadlineUs, boolean probes, Path meeting) throws IOException {
-        this(semantics, deadlineUs, probes, meeting, "'sockets':128");
+        this(semantics, deadlineUs, probes, meeting, "'sockets':128", "ask");
     }
 
-    private TestNode(String semantics, long deadlineUs, boolean probes, Path meeting, String limits) throws IOException {
+    /** Where an agent on the own machine holds the list as it is pushed. */
+    static TestNode pushed() throws IOException {
+        return new TestNode("read_like", 20_000_000, false, null, "'sockets':128", "push");
+    }
+
+    private TestNode(String semantics, long deadlineUs, boolean probes, Path meeting, String limits, String listMode)
+            throws IOException {
         this.limits = limits;
+        this.listMode = listMode;
         this.probes = probes;
         this.semantics = semantics;
         this.deadlineUs = deadlineUs;
@@ -86,7 +94,7 @@
             + "'known':{'version':7,'full':true,'servers':[" + entry("SERVING") + "]},"
             + "'settings':{'classes':[{'name':'render','aim_us':" + deadlineUs / 2 + ",'deadline_us':" + deadlineUs + ",'semantics':'"
             + semantics + "','key_scope':'all','window_us':20000000}],'zones':['a'],'kinds':['m'],"
-            + "'discovery':'ask','rules':{'ask_within_us':4000},"
+            + "'discovery':'" + listMode + "','rules':{'ask_within_us':4000},"
             + "'stats':{'via':'pull','fields':['x0','errors_per_s']},"
             + "'limits':{'max_attempts':3,'probes':" + probes + ",'cancel':true,'dial_timeout_us':5000000}}}").replace('\'', '"');
     }
