Name unreadable entries of the list once, and take no unreadable list for an empty fleet

Need: an entry that can't be read was counted, not named, and a whole list none of whose entries could be read emptied the fleet; two entries for one id in one object were both told to the module. Rejected: logging each time (a faulty entry comes again with each list). FaultyListTest fails before the change.

--- a/node/src/main/java/hookweir/net/discovery/ListUpdate.java
+++ b/node/src/main/java/hookweir/net/discovery/ListUpdate.java
@@ -8,8 +8,10 @@
 import hookweir.net.Invariants;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * One object of the list: the whole of it, or the entries that changed.
@@ -30,12 +32,12 @@
         private final Names zones;
         private final Names kinds;
         private final WorkerIds ids = new WorkerIds();
-        private final Invariants invariants;
+        private final Complaints complaints;
 
         public Parser(String[] zones, String[] kinds, Invariants invariants) {
             this.zones = new Names(zones);
             this.kinds = new Names(kinds);
-            this.invariants = invariants;
+            complaints = new Complaints(invariants);
         }
 
         /** Workers numbered now: those listed, by the last whole list and the changes since. */
@@ -48,26 +50,38 @@
             try {
                 return parse(JSON.readTree(line));
             } catch (IOException e) {
-                invariants.count("discovery bad line");
+                complaints.about("discovery bad line", new String(line, StandardCharsets.ISO_8859_1), "is no JSON");
                 return null;
             }
         }
 
-        /** Takes one object; null, and a count, where it is none. Entries that can't be used are left out. */
+        /**
+         * Takes one object; null, and a complaint, where it is none, or is a whole list none of whose entries can be read: a
+         * fleet is not empty by mistake. Single entries that can't be used are left out; of two for one id the later holds.
+         */
         public ListUpdate parse(JsonNode o) {
             if (o == null || !o.path("version").isIntegralNumber() || !o.path("servers").isArray()) {
-                invariants.count("discovery bad line");
+                complaints.about("discovery bad line", String.valueOf(o), "lacks a whole 'version' or a list 'servers'");
                 return null;
             }
-            List<Entry> entries = new ArrayList<>();
+            Map<String, Entry> byName = new LinkedHashMap<>();
             for (JsonNode one : o.get("servers")) {
-                Entry e = entry(one);
-                if (e == null) {
-                    invariants.count("discovery bad entry");
+                String fault = fault(one);
+                if (fault != null) {
+                    complaints.about("discovery bad entry", one.toString(), fault);
                 } else {
-                    entries.add(e);
+                    Entry e = entry(one);
+                    if (byName.remove(e.name()) != null) {
+                        complaints.about("discovery entry twice", e.name(), "is listed twice in one object; the later holds");
+                    }
+                    byName.put(e.name(), e);
                 }
             }
+            List<Entry> entries = List.copyOf(byName.values());
+            if (entries.isEmpty() && !o.get("servers").isEmpty()) {
+                complaints.about("discovery bad line", "version " + o.get("version").asLong(), "has no entry that can be read");
+                return null;
+            }
             boolean full = o.path("full").asBoolean(false);
             if (full) {
                 ids.keepOnly(entries.stream().filter(e -> e.worker().state != State.GONE).map(Entry::name)
@@ -77,18 +91,32 @@
             return new ListUpdate(o.get("version").asLong(), full, entries);
         }
 
-        private Entry entry(JsonNode one) {
-            State state = switch (one.path("state").asText()) {
+        /** Why this entry can't be used, or null. */
+        private static String fault(JsonNode one) {
+            String state = one.path("state").asText();
+            if (one.path("id").asText().isEmpty()) {
+                return "has no 'id'";
+            }
+            if (state(state) == null) {
+                return "has the unknown 'state' '" + state + "'";
+            }
+            boolean reachable = ConfigReader.parseAddress(one.path("addr").asText()) != null;
+            return reachable || state(state) == State.GONE ? null : "has no 'addr' of the form ADDRESS:PORT";
+        }
+
+        private static State state(String text) {
+            return switch (text) {
                 case "SERVING" -> State.READY;
                 case "DRAINING" -> State.DRAINING;
                 case "DELETED" -> State.GONE;
                 default -> null;
             };
+        }
+
+        private Entry entry(JsonNode one) {
+            State state = state(one.path("state").asText());
             String name = one.path("id").asText();
             InetSocketAddress address = ConfigReader.parseAddress(one.path("addr").asText());
-            if (state == null || name.isEmpty() || address == null && state != State.GONE) {
-                return null;
-            }
             Worker w = new Worker();
             w.id = ids.number(name);
             w.state = state;
--- /dev/null
+++ b/node/src/test/java/hookweir/net/discovery/FaultyListTest.java
@@ -0,0 +1,68 @@
+package hookweir.net.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import hookweir.net.Invariants;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What discovery gets wrong costs the entry at fault, not the rest of the list, and is told once. */
+final class FaultyListTest {
+    private static final String GOOD = entry("s-01", "SERVING");
+    private final Invariants invariants = new Invariants();
+    private final ListUpdate.Parser parser = new ListUpdate.Parser(new String[] {"a"}, new String[] {"m"}, invariants);
+
+    private static String entry(String id, String state) {
+        return "{'id':'" + id + "','addr':'127.0.0.1:80','zone':'a','kind':'m','cell':0,'state':'" + state + "','weight':1.0,'started_ms':0}";
+    }
+
+    private ListUpdate parse(String servers) {
+        return parser.parse(("{'version':4,'full':true,'servers':[" + servers + "]}").replace('\'', '"').getBytes(StandardCharsets.UTF_8));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "{'addr':'127.0.0.1:81','state':'SERVING'}", "{'id':'s-02','state':'SERVING'}", "{'id':'s-02','addr':'here','state':'SERVING'}",
+        "{'id':'s-02','addr':'127.0.0.1:81','state':'ASLEEP'}", "{'id':'s-02','addr':'127.0.0.1:81'}", "7", "null", "[]"})
+    void anEntryThatCannotBeReadIsLeftOutAndTheRestUsed(String bad) {
+        ListUpdate u = parse(bad + "," + GOOD);
+        assertEquals(List.of("s-01"), u.entries().stream().map(ListUpdate.Entry::name).toList());
+        assertEquals(1, invariants.counted("discovery bad entry"));
+        assertEquals(1, invariants.counted("discovery complaints logged"));
+    }
+
+    @Test
+    void ofTwoEntriesForOneIdTheLaterHolds() {
+        ListUpdate u = parse(GOOD + "," + entry("s-01", "DRAINING"));
+        assertEquals(1, u.entries().size());
+        assertEquals(hookweir.Contract.State.DRAINING, u.entries().get(0).worker().state);
+        assertEquals(1, invariants.counted("discovery entry twice"));
+    }
+
+    @Test
+    void aWholeListThatCannotBeReadIsNoEmptyFleet() {
+        assertNotNull(parse(GOOD));
+        assertNull(parse(entry("s-01", "ASLEEP") + "," + entry("s-02", "ASLEEP")));
+        assertEquals(1, parser.size(), "the list as held stands");
+        assertEquals(0, parse("").entries().size(), "an empty list is what it says");
+    }
+
+    @Test
+    void theSameFaultIsLoggedOnceAndTheMemoryOfThemIsBounded() {
+        for (int i = 0; i < 50; i++) {
+            parse("{'id':'s-02'}," + GOOD);
+        }
+        assertEquals(50, invariants.counted("discovery bad entry"));
+        assertEquals(1, invariants.counted("discovery complaints logged"));
+        for (int i = 0; i < Complaints.MOST; i++) {
+            parse("{'id':'x-" + i + "'}," + GOOD);
+        }
+        parse("{'id':'s-02'}," + GOOD);
+        assertEquals(Complaints.MOST + 2, invariants.counted("discovery complaints logged"), "forgotten after so many others");
+    }
+}
