Read-over: one set that forgets the eldest, one reading of an entry, strict test back

Found on reading the change once more; behaviour stays as it is: - the set of the last so many stood twice (ids taken, faults logged): Recent.last serves both; - an entry of the list had its state and address parsed twice, once for its fault and once for itself: one pass; - what a faulty line said was cleaned whole before being cut to 120 characters: cut first; - Policy kept an array of a job's workers of which only the last was read, and wrapped its looks in a list for each worker weighed: the last worker, and a list; a comment named heavy jobs where the rule holds for all; - tests: probing settings and numbered fleets were written out four times: RecordingHost.probing and workers; - RuleCheckerTest: the strict assertion is back. The wrong host copies repeatable jobs alone, so that a copy breaks the one rule.

--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -71,8 +71,8 @@
         boolean done, bound, mayHaveRun, waiting;
         Contract.Request r;
         RequestClass in;
-        W firstRun;
-        W[] to, looks;
+        W firstRun, last;
+        List<W> looks;
         boolean[] back;
     }
 
@@ -109,8 +109,7 @@
     @Override public void retune(long now, Contract.Settings settings) {
         set = settings;
         checksOn = settings.probes && settings.reports != Contract.ReportsBy.NEVER;
-        double checks = CHECK_POINTS / Math.max(settings.priceProbe, 1e-9);
-        checksPerRequest = Math.max(1, Math.min(MOST_LOOKS, checks));
+        checksPerRequest = Math.max(1, Math.min(MOST_LOOKS, CHECK_POINTS / Math.max(set.priceProbe, 1e-9)));
     }
 
     // ---- the list of workers ----
@@ -189,7 +188,6 @@
         j.r = r;
         j.in = set.classes.get(r.requestClass);
         j.slots = r.slots > 0 ? r.slots : 1;
-        j.to = new W[set.maxAttempts];
         j.back = new boolean[set.maxAttempts];
         // A client's tries share one aim, counted from its first.
         long born = Math.min(now, r.giveUpAtUs - j.in.deadlineUs);
@@ -260,12 +258,13 @@
     /** Departure: before the draw, figures of some candidates, themselves drawn by room, are taken afresh. */
     private void look(Job j, long now) {
         weigh(j, now);
-        j.looks = new W[(int) checksPerRequest];
+        j.looks = new ArrayList<>();
         j.looking = 0;
-        for (int i = 0; i < j.looks.length; i++) {
+        for (int i = 0; i < (int) checksPerRequest; i++) {
             int at = draw();
             if (at < 0) break;
-            W w = j.looks[i] = workers.get(at);
+            W w = workers.get(at);
+            j.looks.add(w);
             weight[at] = 0;
             if (now - w.heardUs > Math.max(serviceUs * RECHECK, LEAST_GAP_US)) check(w);
             j.looking += w.checkOut ? 1 : 0;
@@ -319,7 +318,7 @@
     /** Rule 2, in one place: may this request go out once more? */
     private boolean maySend(Job j, long now) {
         boolean closing = now >= j.firstRunUs + j.in.windowUs * 15 / 16;
-        return j.attempts < Math.min(set.maxAttempts, j.to.length) && now < j.r.giveUpAtUs - set.tickUs
+        return j.attempts < Math.min(set.maxAttempts, j.back.length) && now < j.r.giveUpAtUs - set.tickUs
             && (j.out == 0 || set.secondCopies)
             && (j.firstRun == null || j.in.effect == Effect.SAFE || j.in.effect == Effect.KEYED && !closing);
     }
@@ -338,7 +337,8 @@
 
     /** The one place that sends; until an outcome proves otherwise, the attempt may have run. */
     private void send(Job j, W w, long now) {
-        j.to[j.attempts++] = w;
+        j.last = w;
+        j.attempts++;
         j.startedUs = 0;
         j.out++;
         j.firstRunUs = j.firstRun == null ? now : j.firstRunUs;
@@ -470,7 +470,7 @@
         if (report != null) take(w, report, now);
         for (int i = lookers.size() - 1; i >= 0; i--) {
             Job j = lookers.get(i);
-            if (Arrays.asList(j.looks).contains(w) && --j.looking == 0) place(j, now);
+            if (j.looks.contains(w) && --j.looking == 0) place(j, now);
         }
     }
 
@@ -576,7 +576,7 @@
             // Departure: room counts by the worker's speed as reports tell it, else by its kind's as seen.
             room *= Math.min(2, w.serviceMs > 0 ? meanMs / w.serviceMs : meanPace / pace(w));
             room *= blame(w, now) < EXCUSED ? 1 : 1 - blame(w, now);
-            // Departure: a heavy job goes where its run can still end in time: slow cores outlast its client.
+            // Departure: a job goes where its run can still end in time: slow cores outlast some clients.
             room *= now + j.r.hintUs * pace(w) > j.aimUs ? TOO_SLOW : 1;
             weight[i] = Math.max(0, room * home(w));
             sum += weight[i];
@@ -603,7 +603,7 @@
     /** The worker can run the job, may by rule 2, and is not the one that just failed to. */
     private boolean fits(Job j, W w) {
         return (j.in.kind < 0 || j.in.kind == w.e.kind)
-            && (j.attempts == 0 || inGroup(j, w) && j.to[j.attempts - 1] != w)
+            && (j.attempts == 0 || inGroup(j, w) && j.last != w)
             && (j.slots <= 1 || j.slots <= slots(w) + 0.5 || kindSlots[w.e.kind] <= 1);
     }
 
@@ -649,7 +649,7 @@
     private void keepLooked(Job j) {
         for (int n = 0; n < span; n++) {
             W w = workers.get(at(n));
-            if (w.checkOut || !Arrays.asList(j.looks).contains(w)) weight[at(n)] = 0;
+            if (w.checkOut || !j.looks.contains(w)) weight[at(n)] = 0;
         }
     }
 
--- a/core/src/test/java/hookweir/ManyDispatchersTest.java
+++ b/core/src/test/java/hookweir/ManyDispatchersTest.java
@@ -1,11 +1,16 @@
 package hookweir;
 
+import static hookweir.RecordingHost.probing;
 import static hookweir.RecordingHost.settings;
 import static hookweir.RecordingHost.worker;
+import static hookweir.RecordingHost.workers;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import hookweir.Contract.Effect;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 
 /** What each of many dispatchers does for itself, summed over all; and what one that sees few requests knows at once. */
@@ -14,14 +19,6 @@
     private static final int WORKERS = 60;
     private static final int SEEDS = 400;
 
-    private static Contract.Settings probing(Effect effect) {
-        Contract.Settings s = settings(effect);
-        s.probes = true;
-        s.reports = Contract.ReportsBy.PROBES;
-        s.priceProbe = 0.01;
-        return s;
-    }
-
     private static Contract.Worker sized(int id, int kind, double size) {
         Contract.Worker w = worker(id);
         w.kind = kind;
@@ -34,11 +31,7 @@
         int checks = 0;
         for (int d = 0; d < DISPATCHERS; d++) {
             RecordingHost h = RecordingHost.with(probing(Effect.SAFE), 100 + d);
-            Contract.Worker[] fleet = new Contract.Worker[WORKERS];
-            for (int w = 0; w < WORKERS; w++) {
-                fleet[w] = worker(w);
-            }
-            h.fleet(fleet);
+            h.fleet(workers(WORKERS));
             h.pass(5_000_000);
             checks += h.probes.size();
         }
@@ -114,14 +107,11 @@
         s.warmWithinUs = 1_000_000_000_000L;
         int warm = 12;
         int slots = 4;
-        java.util.Random jobs = new java.util.Random(5);
-        java.util.List<RecordingHost> hosts = new java.util.ArrayList<>();
+        Random jobs = new Random(5);
+        List<RecordingHost> hosts = new ArrayList<>();
         for (int d = 0; d < DISPATCHERS; d++) {
             RecordingHost h = RecordingHost.with(s, d);
-            Contract.Worker[] fleet = new Contract.Worker[warm + 1];
-            for (int w = 0; w <= warm; w++) {
-                fleet[w] = worker(w);
-            }
+            Contract.Worker[] fleet = workers(warm + 1);
             fleet[0].startedAtUs = h.now;
             h.fleet(fleet);
             for (int w = 1; w <= warm; w++) {
--- a/core/src/test/java/hookweir/OldFiguresTest.java
+++ b/core/src/test/java/hookweir/OldFiguresTest.java
@@ -1,7 +1,7 @@
 package hookweir;
 
-import static hookweir.RecordingHost.settings;
-import static hookweir.RecordingHost.worker;
+import static hookweir.RecordingHost.probing;
+import static hookweir.RecordingHost.workers;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -18,16 +18,9 @@
 
     /** All workers had room when last heard; since then all but the roomy ones have filled up. The job's probes so far. */
     private static int[] looksAndTarget(int roomy, int seed) {
-        Contract.Settings s = settings(Effect.SAFE);
-        s.probes = true;
-        s.reports = Contract.ReportsBy.PROBES;
-        s.priceProbe = 0.01;
+        Contract.Settings s = probing(Effect.SAFE);
         RecordingHost h = RecordingHost.with(s, seed);
-        Contract.Worker[] fleet = new Contract.Worker[WORKERS];
-        for (int w = 0; w < WORKERS; w++) {
-            fleet[w] = worker(w);
-        }
-        h.fleet(fleet);
+        h.fleet(workers(WORKERS));
         for (int w = 0; w < WORKERS; w++) {
             h.report(w, 4);
         }
@@ -61,12 +54,9 @@
     private static int sentToFirst(Contract.Outcome check, double errorsFirst, double errorsSecond) {
         int first = 0;
         for (int seed = 0; seed < SEEDS; seed++) {
-            Contract.Settings s = settings(Effect.SAFE);
-            s.probes = true;
-            s.reports = Contract.ReportsBy.PROBES;
-            s.priceProbe = 0.01;
+            Contract.Settings s = probing(Effect.SAFE);
             RecordingHost h = RecordingHost.with(s, seed);
-            h.fleet(worker(0), worker(1));
+            h.fleet(workers(2));
             answer(h, 0, Contract.Outcome.OK, errorsFirst);
             answer(h, 1, Contract.Outcome.OK, errorsSecond);
             h.pass(200_000);
--- a/core/src/test/java/hookweir/PolicyDrawTest.java
+++ b/core/src/test/java/hookweir/PolicyDrawTest.java
@@ -18,11 +18,7 @@
         for (int seed = 0; seed < DRAWS; seed++) {
             Contract.Settings s = settings(Contract.Effect.SAFE);
             RecordingHost h = RecordingHost.with(s, seed * 7919L);
-            Contract.Worker[] fleet = new Contract.Worker[free.length];
-            for (int i = 0; i < free.length; i++) {
-                fleet[i] = worker(i);
-            }
-            h.fleet(fleet);
+            h.fleet(RecordingHost.workers(free.length));
             h.report(0, 8);
             for (int i = 0; i < free.length; i++) {
                 h.report(i, free[i]);
--- a/core/src/test/java/hookweir/RecordingHost.java
+++ b/core/src/test/java/hookweir/RecordingHost.java
@@ -95,6 +95,24 @@
         return s;
     }
 
+    /** As {@link #settings}, with figures by probes alone, at a price that allows one look at a time. */
+    static Contract.Settings probing(Contract.Effect effect) {
+        Contract.Settings s = settings(effect);
+        s.probes = true;
+        s.reports = Contract.ReportsBy.PROBES;
+        s.priceProbe = 0.01;
+        return s;
+    }
+
+    /** So many workers, numbered from 0. */
+    static Contract.Worker[] workers(int n) {
+        Contract.Worker[] fleet = new Contract.Worker[n];
+        for (int i = 0; i < n; i++) {
+            fleet[i] = worker(i);
+        }
+        return fleet;
+    }
+
     @Override
     public void send(int requestId, int workerId, long withinUs) {
         actions.add("send " + requestId + " " + workerId);
--- a/lab/src/test/java/hookweir/lab/check/PolicyWorld.java
+++ b/lab/src/test/java/hookweir/lab/check/PolicyWorld.java
@@ -36,6 +36,7 @@
     private final boolean[] asked;
     private final boolean[] answered;
     private final int[] attempts;
+    private final int[] kindOf;
     private final int[][] workerOf;
     private final boolean[][] ended;
     /** Jobs that each worker holds; it has four slots and tells what is free on each answer. */
@@ -68,6 +69,7 @@
         asked = new boolean[requests + 1];
         answered = new boolean[requests + 1];
         attempts = new int[requests + 1];
+        kindOf = new int[requests + 1];
         workerOf = new int[requests + 1][settings.maxAttempts];
         ended = new boolean[requests + 1][settings.maxAttempts];
         lines.add("{\"ev\":\"terms\",\"version\":2,\"never_twice\":[\"billing-post\"],\"max_attempts\":5,\"drain_ms\":250,"
@@ -130,6 +132,7 @@
         Contract.Request r = new Contract.Request();
         r.id = id;
         r.requestClass = random.nextInt(NAMES.length);
+        kindOf[id] = r.requestClass;
         asked[id] = true;
         r.hintUs = 200_000;
         r.giveUpAtUs = now + settings.classes.get(r.requestClass).deadlineUs;
@@ -177,7 +180,8 @@
         holds[workerId]++;
         seen("\"ev\":\"attempt\",\"id\":\"r" + requestId + "\",\"worker\":\"s-" + workerId
             + "\",\"scheduler\":\"n1/" + life + "\",\"sum\":\"" + requestId + "\"");
-        if (flaw == Flaw.COPIES && requestId % 50 == 0) {
+        // Of live-status alone: a copy of another kind that may have run makes what follows it a breach of further rules.
+        if (flaw == Flaw.COPIES && requestId % 50 == 0 && kindOf[requestId] == 0) {
             seen("\"ev\":\"attempt\",\"id\":\"r" + requestId + "\",\"worker\":\"s-" + (workerId >= 5 ? workerId - 2 : workerId == 1 ? 5 : workerId + 2)
                 + "\",\"scheduler\":\"n1/" + life + "\"");
         }
--- a/lab/src/test/java/hookweir/lab/check/RuleCheckerTest.java
+++ b/lab/src/test/java/hookweir/lab/check/RuleCheckerTest.java
@@ -81,9 +81,7 @@
         "FORGETS, R1 no answer within the deadline"})
     void aWrongHostAroundTheRealModuleIsCaught(PolicyWorld.Flaw flaw, String rule) throws IOException {
         List<RuleChecker.Breach> found = RuleChecker.check(History.parse("world", new PolicyWorld(5, 400, flaw).run()));
-        // A copy that may have run can make the module's next attempt of that request a breach too; no other request breaks any.
-        List<String> wronged = found.stream().filter(b -> b.rule().equals(rule)).map(RuleChecker.Breach::detail).toList();
-        assertTrue(!found.isEmpty() && found.stream().allMatch(b -> wronged.contains(b.detail())), flaw + ": " + found);
+        assertTrue(!found.isEmpty() && found.stream().allMatch(b -> b.rule().equals(rule)), flaw + ": " + found);
     }
 
     /** Every way of breaking a rule that the mutator knows, in every place of worlds with all classes and two lives. */
--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -24,10 +24,8 @@
 import hookweir.timer.TimerWheel;
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -80,14 +78,7 @@
     private final Map<Integer, Exchange> exchanges = new HashMap<>();
     private final Map<String, Exchange> byName = new HashMap<>();
     /** Ids of the last exchanges, over or not. */
-    private final Set<String> taken = Collections.newSetFromMap(new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > MOST_TAKEN;
-        }
-    });
+    private final Set<String> taken = Recent.last(MOST_TAKEN);
     private int lastId;
     private boolean draining;
     /** This process follows one that serves, and waits for the present list. */
--- a/node/src/main/java/hookweir/net/discovery/Complaints.java
+++ b/node/src/main/java/hookweir/net/discovery/Complaints.java
@@ -2,9 +2,7 @@
 
 import hookweir.net.Invariants;
 import hookweir.net.Log;
-import java.util.Collections;
-import java.util.LinkedHashMap;
-import java.util.Map;
+import hookweir.net.Recent;
 import java.util.Set;
 
 /**
@@ -16,14 +14,7 @@
     private static final int MOST_CHARS = 120;
 
     private final Invariants invariants;
-    private final Set<String> logged = Collections.newSetFromMap(new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > MOST;
-        }
-    });
+    private final Set<String> logged = Recent.last(MOST);
 
     Complaints(Invariants invariants) {
         this.invariants = invariants;
@@ -32,8 +23,8 @@
     /** Counts under the name, and logs the case where it is new; what the list said is cut short and kept to one line. */
     void about(String counter, String what, String reason) {
         invariants.count(counter);
-        String plain = what.replaceAll("[^\\x20-\\x7e]", "?");
-        String text = counter + ": " + (plain.length() > MOST_CHARS ? plain.substring(0, MOST_CHARS) + "..." : plain) + " " + reason;
+        String shown = what.length() > MOST_CHARS ? what.substring(0, MOST_CHARS) + "..." : what;
+        String text = counter + ": " + shown.replaceAll("[^\\x20-\\x7e]", "?") + " " + reason;
         if (logged.add(text)) {
             invariants.count("discovery complaints logged");
             Log.line(text);
--- a/node/src/main/java/hookweir/net/discovery/ListUpdate.java
+++ b/node/src/main/java/hookweir/net/discovery/ListUpdate.java
@@ -66,14 +66,11 @@
             }
             Map<String, Entry> byName = new LinkedHashMap<>();
             for (JsonNode one : o.get("servers")) {
-                String fault = fault(one);
-                if (fault != null) {
-                    complaints.about("discovery bad entry", one.toString(), fault);
-                } else {
-                    Entry e = entry(one);
-                    if (byName.remove(e.name()) != null) {
-                        complaints.about("discovery entry twice", e.name(), "is listed twice in one object; the later holds");
-                    }
+                Entry e = entry(one);
+                if (e != null && byName.remove(e.name()) != null) {
+                    complaints.about("discovery entry twice", e.name(), "is listed twice in one object; the later holds");
+                }
+                if (e != null) {
                     byName.put(e.name(), e);
                 }
             }
@@ -91,32 +88,23 @@
             return new ListUpdate(o.get("version").asLong(), full, entries);
         }
 
-        /** Why this entry can't be used, or null. */
-        private static String fault(JsonNode one) {
-            String state = one.path("state").asText();
-            if (one.path("id").asText().isEmpty()) {
-                return "has no 'id'";
-            }
-            if (state(state) == null) {
-                return "has the unknown 'state' '" + state + "'";
-            }
-            boolean reachable = ConfigReader.parseAddress(one.path("addr").asText()) != null;
-            return reachable || state(state) == State.GONE ? null : "has no 'addr' of the form ADDRESS:PORT";
-        }
-
-        private static State state(String text) {
-            return switch (text) {
+        /** Null, and a complaint, where the entry can't be used. */
+        private Entry entry(JsonNode one) {
+            String text = one.path("state").asText();
+            State state = switch (text) {
                 case "SERVING" -> State.READY;
                 case "DRAINING" -> State.DRAINING;
                 case "DELETED" -> State.GONE;
                 default -> null;
             };
-        }
-
-        private Entry entry(JsonNode one) {
-            State state = state(one.path("state").asText());
             String name = one.path("id").asText();
             InetSocketAddress address = ConfigReader.parseAddress(one.path("addr").asText());
+            String fault = name.isEmpty() ? "has no 'id'" : state == null ? "has the unknown 'state' '" + text + "'"
+                : address == null && state != State.GONE ? "has no 'addr' of the form ADDRESS:PORT" : null;
+            if (fault != null) {
+                complaints.about("discovery bad entry", one.toString(), fault);
+                return null;
+            }
             Worker w = new Worker();
             w.id = ids.number(name);
             w.state = state;
