Give processes ports that the system draws for nobody: a test failed by a port taken

Seen: the last run of the tests ended with "answer half written, error: setting listen names 127.0.0.1:40591, which can't be used: Address already in use" in TwoLivesTest; all others passed. Cause: Target.freePort drew a port from the system, gave it back and left it to a process that binds it half a second later, and once more in its next life. In between it is anybody's: 40591 lies in the range (32768 to 60999) from which the stand-ins' own doors, six scenarios side by side, draw. Ruled out: a process of the life before that still listened (it was awaited, and the kill scenarios passed), SO_REUSEADDR (set). Change: Ports.free gives ports below what any system draws by itself, none twice, and passes over those in use. Rejected: trying the whole scenario again, which would hide other failures; holding the socket open, as a killed life must bind it anew.

--- a/lab/src/main/java/hookweir/lab/lives/Life.java
+++ b/lab/src/main/java/hookweir/lab/lives/Life.java
@@ -3,6 +3,7 @@
 import hookweir.lab.check.Event;
 import hookweir.lab.check.Event.What;
 import hookweir.lab.load.Target;
+import hookweir.lab.net.Ports;
 import hookweir.lab.record.Witness;
 import hookweir.lab.standin.Fleet;
 import java.io.File;
@@ -50,10 +51,10 @@
      * @param debugged an Error can be thrown in its loop
      */
     static Life start(Path root, Path folder, Holder shared, int port, int number, boolean debugged, Witness witness) throws IOException {
-        int debugPort = debugged ? Target.freePort() : 0;
+        int debugPort = debugged ? Ports.free() : 0;
         String run = debugged ? Target.runLine(root).replace(" -jar ", " " + Debugger.flag(debugPort) + " -jar ") : Target.runLine(root);
         Map<String, String> env = new TreeMap<>(Map.of("RELAY_CONFIG", folder.resolve("config.json").toString(), "TMPDIR", folder.toString(),
-            "RELAY_LISTEN", "127.0.0.1:" + port, "RELAY_ADMIN_ADDR", "127.0.0.1:" + Target.freePort()));
+            "RELAY_LISTEN", "127.0.0.1:" + port, "RELAY_ADMIN_ADDR", "127.0.0.1:" + Ports.free()));
         Path log = folder.resolve("log" + number);
         ProcessHandle process;
         if (shared == null) {
--- a/lab/src/main/java/hookweir/lab/lives/RandomStops.java
+++ b/lab/src/main/java/hookweir/lab/lives/RandomStops.java
@@ -5,7 +5,7 @@
 import hookweir.lab.check.HistoryReader;
 import hookweir.lab.check.RuleChecker;
 import hookweir.lab.load.Clients;
-import hookweir.lab.load.Target;
+import hookweir.lab.net.Ports;
 import hookweir.lab.net.Reactor;
 import hookweir.lab.record.Recorder;
 import hookweir.lab.standin.Fleet;
@@ -86,7 +86,7 @@
         try (Recorder witness = new Recorder(history, Scenario.terms()); Reactor workers = new Reactor("workers");
                 Reactor asking = new Reactor("clients"); Holder shared = kinds.contains(Stop.SUCCESSOR) ? new Holder() : null) {
             Fleet fleet = new Fleet(workers, WORKERS, 64, SERVICE_MS * 1_000_000L, 2, false, witness);
-            int port = shared == null ? Target.freePort() : shared.port();
+            int port = shared == null ? Ports.free() : shared.port();
             fleet.tells(Fleet.local(port));
             Files.writeString(folder.resolve("config.json"), Scenario.config(fleet.list(), fleet.servers()));
             stops(witness, asking, shared, folder, port, kinds, done);
--- a/lab/src/main/java/hookweir/lab/lives/Scenario.java
+++ b/lab/src/main/java/hookweir/lab/lives/Scenario.java
@@ -3,7 +3,7 @@
 import hookweir.lab.check.History;
 import hookweir.lab.check.RuleChecker;
 import hookweir.lab.check.Terms;
-import hookweir.lab.load.Target;
+import hookweir.lab.net.Ports;
 import hookweir.lab.record.Recorder;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -97,7 +97,7 @@
             this.folder = folder;
             this.witness = witness;
             this.shared = shared;
-            port = shared == null ? Target.freePort() : shared.port();
+            port = shared == null ? Ports.free() : shared.port();
         }
 
         private Life life(int number) throws IOException {
--- a/lab/src/main/java/hookweir/lab/load/Target.java
+++ b/lab/src/main/java/hookweir/lab/load/Target.java
@@ -1,9 +1,9 @@
 package hookweir.lab.load;
 
+import hookweir.lab.net.Ports;
 import java.io.File;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -43,7 +43,7 @@
      * @param flags further flags of the JVM, later ones win
      */
     public static Target scheduler(Path root, int cpu, int listPort, long aimMs, int sockets, String flags) throws IOException, InterruptedException {
-        int port = freePort();
+        int port = Ports.free();
         Path folder = Files.createTempDirectory("hookweir-load");
         Path config = folder.resolve("config.json");
         Files.writeString(config, config(port, listPort, aimMs, sockets));
@@ -53,7 +53,7 @@
 
     /** The echo of {@link Echo} as a process of its own, with the scheduler's flags but no class data. */
     public static Target echo(Path root, int cpu, Path jar) throws IOException, InterruptedException {
-        int port = freePort();
+        int port = Ports.free();
         Path folder = Files.createTempDirectory("hookweir-echo");
         String run = "java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms24m -Xmx48m -XX:MaxDirectMemorySize=16m -Xlog:gc:file="
             + folder.resolve("gc.log") + ":none -cp " + jar + " hookweir.lab.load.Echo " + port;
@@ -98,13 +98,6 @@
         return line.group(1);
     }
 
-    /** A loopback port that nobody has just now. */
-    public static int freePort() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return free.getLocalPort();
-        }
-    }
-
     private static String config(int port, int listPort, long aimMs, int sockets) {
         return ("{'name':'load','listen':'127.0.0.1:" + port + "','discovery':'127.0.0.1:" + listPort + "','seed':'1',"
             + "'limits':{'sockets':" + sockets + "},'settings':{'classes':[{'name':'job','aim_us':" + aimMs * 1000 + ",'deadline_us':"
