Count a start in the future as now, and ask for the whole list where its version goes back

Seen: of the hard cases of large fleets four had no test: workers that accept two connections, a zone's links silent and then reset, a version of the list that goes back, a start in the future. Cause: Policy.warmth reads a start as listed, so that one an hour ahead leaves a worker at its cold share for that hour, with no job longer than that allows (lines: Policy.restarted). Discovery.line took any version for the next: after one that goes back, changes left out between are never told. Change: a start in the future counts as now, and is named in the log; what a line of an older version says is heeded, as discovery wrote it and so it counts as told, and then the whole list is asked for. Rejected: leaving such lines out, which would break a drain.

--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -57,7 +57,7 @@
         Contract.Worker e;
         int failures;
         boolean ready, cold, listed, checkOut;
-        long hash, startedUs, heardUs, sentUs, figureUs, fullUntilUs, asideUntilUs;
+        long hash, listedStartUs, startedUs, heardUs, sentUs, figureUs, fullUntilUs, asideUntilUs;
         double busy = Double.NaN, serviceMs = Double.NaN;
         double free, utilization, sizeMax, sent, fresh, bad, errors;
         long badUs;
@@ -132,7 +132,7 @@
                 kindSlots = Arrays.copyOf(kindSlots, 2 * e.kind + 8);
                 kindPace = Arrays.copyOf(kindPace, 2 * e.kind + 8);
             }
-            if (e.startedAtUs != w.startedUs) restarted(w, e.startedAtUs);
+            if (e.startedAtUs != w.listedStartUs) restarted(w, e.startedAtUs, now);
             if (set.sizes == Contract.SizeFigure.LIVE && e.size > 0) {
                 // Departure: where the list's size figure falls with the requests held, it is a report too.
                 w.sizeMax = Math.max(w.sizeMax, e.size);
@@ -155,7 +155,6 @@
     private W added(Contract.Worker e, long now) {
         W w = new W();
         w.figureUs = now;
-        w.e = e;
         w.hash = mix(e.id);
         byId.put(e.id, w);
         workers.add(w);
@@ -164,8 +163,9 @@
     }
 
     /** A restarted process holds nothing and has failed nobody yet. */
-    private void restarted(W w, long startedUs) {
-        w.startedUs = startedUs;
+    private void restarted(W w, long startedUs, long now) {
+        w.listedStartUs = startedUs;
+        w.startedUs = Math.min(startedUs, now); // one in the future would stay cold until then
         w.cold = startedUs > 0;
         cooling |= w.cold;
         w.busy = w.serviceMs = Double.NaN;
--- a/core/src/test/java/hookweir/ManyDispatchersTest.java
+++ b/core/src/test/java/hookweir/ManyDispatchersTest.java
@@ -95,6 +95,25 @@
         assertTrue(toCold(300_000, 5_000_000) > 0.2, "warm enough for it by then");
     }
 
+    /** A list says that a worker starts in an hour: cold from now on, it is warm in the time that the settings give. */
+    @Test
+    void aStartInTheFutureCountsAsNow() {
+        Contract.Settings s = settings(Effect.SAFE);
+        RecordingHost h = RecordingHost.with(s, 1);
+        Contract.Worker ahead = worker(1);
+        ahead.startedAtUs = h.now + 3_600_000_000L;
+        h.fleet(ahead);
+        h.pass(10_000_000);
+        h.report(1, 4);
+        for (int job = 1; job <= 2; job++) {
+            h.fleet(ahead); // the same list again is no new start
+            Contract.Request r = h.request(job, s);
+            r.hintUs = 300_000; // a cold one would need 3 s for it
+            h.policy.request(h.now, r);
+        }
+        assertEquals(List.of(1, 1), h.sentTo);
+    }
+
     /**
      * Rule 4 over a second and all dispatchers: jobs as they come, a fifth of them long, from a fleet's worth of clients at the
      * fleet's capacity; what is sent to the cold worker stays under the multiple of what it can do.
--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -100,7 +100,7 @@
         Dialer dialer = new Dialer(loop, transport);
         ingress = new Ingress(loop, transport, invariants, room, this::links, this);
         egress = new Egress(loop, dialer, invariants, config.settings().dialTimeoutUs, config.settings().connIdleUs, room, ingress::size);
-        listParser = new ListUpdate.Parser(config.settings().zones, config.settings().kinds, invariants);
+        listParser = new ListUpdate.Parser(config.settings().zones, config.settings().kinds, invariants, loop::nowUs);
         discovery = new Discovery(loop, dialer, config.discovery(), listParser, invariants, this);
         module = new Policy(settings, config.seed(), this);
         succession = new Succession(loop, invariants, config.meeting(), this);
--- a/node/src/main/java/hookweir/net/discovery/Discovery.java
+++ b/node/src/main/java/hookweir/net/discovery/Discovery.java
@@ -100,8 +100,20 @@
             invariants.count("discovery line too long");
         }
         if (update != null) {
-            version = update.version();
+            boolean back = update.version() < version;
+            version = back && !update.full() ? UNKNOWN : update.version();
             listener.listed(update);
+            if (back) {
+                wentBack(update);
+            }
+        }
+    }
+
+    /** What it says was told and holds, but what it left out on its way back may be lost: the whole list is asked for. */
+    private void wentBack(ListUpdate update) {
+        parser.complaints().about("discovery version went back", "to " + update.version(), "; the whole list is asked for");
+        if (version == UNKNOWN) {
+            watch(true);
         }
     }
 
--- a/node/src/main/java/hookweir/net/discovery/ListUpdate.java
+++ b/node/src/main/java/hookweir/net/discovery/ListUpdate.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongSupplier;
 
 /**
  * One object of the list: the whole of it, or the entries that changed.
@@ -28,13 +29,22 @@
     /** Makes updates of JSON. Numbers zones and kinds by the settings' names, and ids while they are listed. */
     public static final class Parser {
         private static final ObjectMapper JSON = new ObjectMapper();
+        /** Clocks of one fleet differ by less. */
+        private static final long AHEAD_US = 1_000_000;
 
         private final Names zones;
         private final Names kinds;
         private final WorkerIds ids = new WorkerIds();
         private final Complaints complaints;
+        private final LongSupplier nowUs;
 
-        public Parser(String[] zones, String[] kinds, Invariants invariants) {
+        /**
+         * With the settings' names.
+         *
+         * @param nowUs the clock that all machines read, Unix time in µs
+         */
+        public Parser(String[] zones, String[] kinds, Invariants invariants, LongSupplier nowUs) {
+            this.nowUs = nowUs;
             this.zones = new Names(zones);
             this.kinds = new Names(kinds);
             complaints = new Complaints(invariants);
@@ -45,6 +55,10 @@
             return ids.size();
         }
 
+        Complaints complaints() {
+            return complaints;
+        }
+
         /** Parses one line; null, and a count, where it is no such object. */
         public ListUpdate parse(byte[] line) {
             try {
@@ -109,6 +123,9 @@
             w.id = ids.number(name);
             w.state = state;
             w.startedAtUs = Math.max(0, one.path("started_ms").asLong(0)) * 1000;
+            if (w.startedAtUs > nowUs.getAsLong() + AHEAD_US) {
+                complaints.about("discovery start ahead", name, "has 'started_ms' " + w.startedAtUs / 1000 + ", which is yet to come; now holds");
+            }
             w.zone = zones.number(one.path("zone").asText());
             w.kind = kinds.number(one.path("kind").asText());
             w.cell = one.path("cell").asInt(0);
--- /dev/null
+++ b/node/src/test/java/hookweir/net/HardFleetTest.java
@@ -0,0 +1,179 @@
+package hookweir.net;
+
+import static hookweir.net.TestNode.hear;
+import static hookweir.net.TestNode.job;
+import static hookweir.net.TestNode.say;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Fleets that are short of something, or say what can't be: jobs go on, and nothing is forgotten by mistake. */
+@Timeout(60)
+final class HardFleetTest {
+    private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+
+    private static void line(Socket watch, int version, boolean full, String entries) throws IOException {
+        String text = ("{'version':" + version + ",'full':" + full + ",'servers':[" + entries + "]}").replace('\'', '"') + "\n";
+        say(watch, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+    }
+
+    private static void whole(Socket call, int version, String entries) throws IOException {
+        String text = ("{'version':" + version + ",'full':true,'servers':[" + entries + "]}").replace('\'', '"');
+        say(call, "HTTP/1.1 200 OK\r\nContent-Length: " + text.length() + "\r\n\r\n" + text);
+    }
+
+    /** What is told holds, but whether that was all is doubtful: the whole list is asked for, and counts from then on. */
+    @Test
+    void aVersionThatGoesBackIsHeededAndTheWholeListAskedFor() throws Exception {
+        try (TestNode n = TestNode.pushed()) {
+            try (Socket watch = n.list.accept()) {
+                assertTrue(hear(watch).startsWith("GET /v1/servers?watch=1&after=7 HTTP/1.1\r\n"));
+                say(watch, CHUNKED);
+                line(watch, 9, false, "");
+                line(watch, 4, false, n.entry("DRAINING"));
+                n.awaitCount("list updates", 3);
+                String answer = n.ask(TestNode.post("/api", "Req-Id: b1\r\nReq-Kind: render\r\nReq-Deadline-Ms: 50\r\n", "work"));
+                assertTrue(answer.startsWith("HTTP/1.1 429"), "its only worker drains, by an old version or not: " + answer);
+            }
+            try (Socket call = n.list.accept()) {
+                assertTrue(hear(call).startsWith("GET /v1/servers HTTP/1.1\r\n"));
+                whole(call, 5, n.entry("SERVING"));
+                n.awaitCount("list updates", 4);
+            }
+            try (Socket watch = n.list.accept()) {
+                assertTrue(hear(watch).startsWith("GET /v1/servers?watch=1&after=5 HTTP/1.1\r\n"));
+            }
+            assertEquals(1, n.node.invariants().counted("discovery version went back"));
+            new AutoWorker(n, true);
+            assertTrue(n.ask(job("b2")).startsWith("HTTP/1.1 200"));
+        }
+    }
+
+    /** It holds two connections and ends further ones unread: jobs in turn share them, and a crowd loses nobody. */
+    @Test
+    void aWorkerThatAcceptsTwoConnectionsServesJobsInTurnAndEndsNoneTwice() throws Exception {
+        List<Socket> clients = new ArrayList<>();
+        try (TestNode n = new TestNode("read_like"); Socket first = n.connect()) {
+            List<Socket> held = new ArrayList<>();
+            Thread worker = new Thread(() -> {
+                try {
+                    while (true) {
+                        Socket s = n.worker.accept();
+                        if (held.size() == 2) {
+                            s.close();
+                            continue;
+                        }
+                        held.add(s);
+                        Thread one = new Thread(() -> play(n, s, "s-01"));
+                        one.setDaemon(true);
+                        one.start();
+                    }
+                } catch (IOException e) {
+                    Thread.currentThread().interrupt(); // the test is over
+                }
+            });
+            worker.setDaemon(true);
+            worker.start();
+            for (int i = 0; i < 10; i++) {
+                say(first, job("t" + i));
+                assertTrue(hear(first).startsWith("HTTP/1.1 200"), "job " + i);
+            }
+            assertEquals(1, n.node.invariants().counted("egress dials"));
+            for (int i = 0; i < 8; i++) {
+                clients.add(n.connect());
+                say(clients.get(i), job("c" + i));
+            }
+            int served = 0;
+            for (Socket c : clients) {
+                String status = hear(c).substring(9, 12);
+                assertTrue(List.of("200", "429").contains(status), status);
+                served += status.equals("200") ? 1 : 0;
+            }
+            assertTrue(served >= 2, "served of a crowd of eight: " + served);
+            String again = "";
+            for (int i = 0; !again.startsWith("HTTP/1.1 200"); i++) { // set aside for its refusals for a while
+                again = n.ask(job("a" + i));
+            }
+        } finally {
+            for (Socket c : clients) {
+                c.close();
+            }
+        }
+    }
+
+    private static void play(TestNode n, Socket s, String name) {
+        try {
+            for (String call = hear(s); !call.isEmpty(); call = hear(s)) {
+                int at = call.indexOf("Req-Id: ") + 8;
+                String id = call.substring(at, call.indexOf('\r', at));
+                say(s, TAKEN);
+                n.tell(id, name, "done");
+            }
+        } catch (IOException e) {
+            Thread.currentThread().interrupt(); // the test is over
+        }
+    }
+
+    /**
+     * Each machine of a zone falls silent with its links open, and resets them when it is back: a safe job goes on elsewhere
+     * in time, one that must not run twice is answered once, as failed, when its fate is known.
+     */
+    @Test
+    void aZoneWhoseLinksFallSilentAndAreThenResetCostsASafeJobNothing() throws Exception {
+        try (ServerSocket other = new ServerSocket(0, 5, InetAddress.getLoopbackAddress()); TestNode n = TestNode.pushed()) {
+            other.setSoTimeout(20_000);
+            Socket watch = n.list.accept();
+            hear(watch);
+            say(watch, CHUNKED);
+            List<Socket> silent = new ArrayList<>();
+            try (Socket client = n.connect(); Socket second = n.connect()) {
+                say(client, job("z1"));
+                silent.add(n.worker.accept());
+                hear(silent.get(0));
+                say(silent.get(0), TAKEN);
+                n.tell("z1", "s-01", "done");
+                hear(client);
+                // Now its link is kept, and silent: what is written to it is never answered.
+                say(client, job("z2"));
+                hear(silent.get(0));
+                say(second, job("z3"));
+                silent.add(n.worker.accept());
+                hear(silent.get(1));
+                line(watch, 8, false, n.entry("DELETED") + ","
+                    + n.entry("SERVING").replace("s-01", "s-02").replaceAll(":\\d+','zone", ":" + other.getLocalPort() + "','zone"));
+                n.awaitCount("list updates", 2);
+                for (Socket s : silent) {
+                    s.setSoLinger(true, 0); // back: its machine knows nothing of these links
+                    s.close();
+                }
+                Thread zone = new Thread(() -> {
+                    try {
+                        while (true) {
+                            Socket s = other.accept();
+                            Thread one = new Thread(() -> play(n, s, "s-02"));
+                            one.setDaemon(true);
+                            one.start();
+                        }
+                    } catch (IOException e) {
+                        Thread.currentThread().interrupt(); // the test is over
+                    }
+                });
+                zone.setDaemon(true);
+                zone.start();
+                assertTrue(hear(client).startsWith("HTTP/1.1 200"));
+                assertTrue(hear(second).startsWith("HTTP/1.1 200"));
+                assertEquals(2, n.node.invariants().counted("hops RESET"));
+            }
+            watch.close();
+        }
+    }
+}
--- a/node/src/test/java/hookweir/net/ParsersTest.java
+++ b/node/src/test/java/hookweir/net/ParsersTest.java
@@ -71,7 +71,7 @@
 
     @Property(seed = "12", tries = 500)
     void garbledListsAreCountedOrRead(@ForAll @Size(min = 1, max = 6) List<@IntRange(min = 0, max = 65_535) Integer> noise) {
-        ListUpdate.Parser parser = new ListUpdate.Parser(new String[] {"a"}, new String[] {"m2"}, invariants);
+        ListUpdate.Parser parser = new ListUpdate.Parser(new String[] {"a"}, new String[] {"m2"}, invariants, () -> 0);
         ListUpdate whole = parser.parse(LIST.getBytes(StandardCharsets.UTF_8));
         assertEquals(17_000, whole.entries().get(0).worker().startedAtUs);
         assertEquals(0x5be2a07c, whole.entries().get(0).worker().id);
--- a/node/src/test/java/hookweir/net/discovery/FaultyListTest.java
+++ b/node/src/test/java/hookweir/net/discovery/FaultyListTest.java
@@ -15,7 +15,7 @@
 final class FaultyListTest {
     private static final String GOOD = entry("s-01", "SERVING");
     private final Invariants invariants = new Invariants();
-    private final ListUpdate.Parser parser = new ListUpdate.Parser(new String[] {"a"}, new String[] {"m"}, invariants);
+    private final ListUpdate.Parser parser = new ListUpdate.Parser(new String[] {"a"}, new String[] {"m"}, invariants, () -> 0);
 
     private static String entry(String id, String state) {
         return "{'id':'" + id + "','addr':'127.0.0.1:80','zone':'a','kind':'m','cell':0,'state':'" + state + "','weight':1.0,'started_ms':0}";
@@ -52,6 +52,14 @@
         assertEquals(0, parse("").entries().size(), "an empty list is what it says");
     }
 
+    @Test
+    void aStartThatIsYetToComeIsNamed() {
+        parse(GOOD.replace("'started_ms':0", "'started_ms':999"));
+        assertEquals(0, invariants.counted("discovery start ahead"), "clocks differ by so much");
+        parse(GOOD.replace("'started_ms':0", "'started_ms':3600000"));
+        assertEquals(1, invariants.counted("discovery start ahead"));
+    }
+
     @Test
     void theSameFaultIsLoggedOnceAndTheMemoryOfThemIsBounded() {
         for (int i = 0; i < 50; i++) {
--- a/node/src/test/java/hookweir/net/discovery/WorkerIdsTest.java
+++ b/node/src/test/java/hookweir/net/discovery/WorkerIdsTest.java
@@ -22,7 +22,7 @@
     /** A day of churn: 100,000 workers come and go, by deletion and by whole lists, while ten stay. */
     @Test
     void replacedWorkersAreForgotten() {
-        ListUpdate.Parser p = new ListUpdate.Parser(new String[] {"a"}, new String[] {"m"}, new Invariants());
+        ListUpdate.Parser p = new ListUpdate.Parser(new String[] {"a"}, new String[] {"m"}, new Invariants(), () -> 0);
         StringBuilder stay = new StringBuilder();
         for (int n = 1; n <= 10; n++) {
             stay.append(n > 1 ? "," : "").append(server(n, "SERVING"));
@@ -45,7 +45,7 @@
     /** Two names of one number: the later moves on, and gets its own number back when it returns. */
     @Test
     void aNumberTakenTwiceMovesOnAndIsFreedWithItsWorker() {
-        ListUpdate.Parser p = new ListUpdate.Parser(new String[] {"a"}, new String[] {"m"}, new Invariants());
+        ListUpdate.Parser p = new ListUpdate.Parser(new String[] {"a"}, new String[] {"m"}, new Invariants(), () -> 0);
         String first = "{\"id\":\"a-10\",\"addr\":\"127.0.0.1:1\",\"state\":\"SERVING\"}";
         String twin = "{\"id\":\"b-10\",\"addr\":\"127.0.0.1:2\",\"state\":\"SERVING\"}";
         var both = p.parse(list(1, true, first + "," + twin)).entries();
