Give cold workers more of the short jobs, by the share of work that would end there in time

Ruled out: checks (1.7 a job as before), bad workers (6% of the attempts), rule 4 as the limit (sent work was a fifth of what the multiple allows while they were coldest). Cause: Policy.coldLot took two thirds of what falls on cold workers to end there in time, a guess fixed for all paces. Change: that share is a running mean over the jobs that come, by their work; lots count 0.45 of the multiple divided by it (the same at two thirds), five times at most. Rejected: a second lot for jobs that were about to be refused, which no sum over dispatchers bounds. Room in the policy: ranking by key sorts the workers instead of keeping two arrays in step.

--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,11 +34,11 @@
     private static final double ABROAD = 0.1; // room abroad counts so much where crossing costs anything
     private static final double NEXT_BY_KEY = 0.2; // room at a key's next worker, of the one before it
     private static final int SAMPLE = 64; // workers weighed for a job in a fleet of more than twice as many
-    private static final int RANKS = 8; // so many workers of a key are told apart...
-    private static final double UNRANKED = 1e-6; // ...and room at all others counts next to nothing
+    private static final double UNRANKED = 1e-6; // ...and at the last ones next to nothing
     private static final double LEAST_ROOM = 0.5; // less by a fresh figure reads as full
     private static final double TOO_SLOW = 0.1; // room at a worker whose pace ends a job after its aim
-    private static final double COLD_LOTS = 0.67; // for a cold worker, of the multiple that pushes it over
+    private static final double COLD_WORK = 0.45; // for a cold worker, of the multiple that pushes it over
+    private static final double LEAST_PASSED = 0.2; // of the work that falls on cold ones, taken to go there
     private static final double ERRING = 0.05; // errors in a mean job's time, for each slot: it is left out
     private static final double AMPLE = 0.75; // fill up to which a guess that a job is late is doubted
     private static final double RESERVE = 0.25; // of a worker is left free by work that is late already
@@ -84,13 +85,11 @@
     private final List<Job> lookers = new ArrayList<>();
     private boolean checksOn;
     private double checksPerRequest;
-    private final int[] rankAt = new int[RANKS];
-    private final long[] rankHash = new long[RANKS];
     private final long salt;
-    private int ranked, watchFailures, from, span, fitting;
+    private int watchFailures, from, span, fitting;
     private double[] weight = new double[64], kindSlots = {}, kindPace = {};
     private double serviceUs = 1e6, staleUs, lookUs, arrivals;
-    private double crossing, meanPace = 1, meanFill = 0.5, meanErrors, meanMs = Double.NaN;
+    private double crossing, passed = 0.67, meanPace = 1, meanFill = 0.5, meanErrors, meanMs = Double.NaN;
     private long random, arrivalsUs, leaveUs, turnedUs = Long.MIN_VALUE / 2;
     private boolean started, watching, cooling; // cooling: some worker may be cold
 
@@ -209,27 +208,37 @@
     /**
      * Rule 4, a departure while any worker is cold: these are out of the draw. Each first try draws a lot
      * over the fleet by the capacity that each surely has; falls it on a cold worker, it goes there. So all
-     * together send it that share and no more, however full others are or often tried. Cold ones count for
-     * more than once: of what falls on them only jobs that end in time at their present pace go there.
+     * together send it that share and no more, however full others are or often tried. Of what falls on them
+     * only jobs that end in time at their present pace go there, and lots count for so much more than once.
      */
     private W coldLot(Job j, long now) {
         if (!cooling) return null;
         cooling = false;
         from = 0;
         span = workers.size();
+        double cold = 0, ending = 0;
+        double lots = Math.max(1, COLD_WORK * set.fallMultiple / Math.max(LEAST_PASSED, passed));
         for (int i = 0; i < span; i++) {
             W w = workers.get(i);
-            cooling |= warmth(w, now) < 1;
-            w.cold = w.ready && warmth(w, now) < 1;
-            double lots = w.cold ? Math.max(1, COLD_LOTS * set.fallMultiple) : 1;
-            weight[i] = w.ready ? lots * warmth(w, now) * slots(w) / pace(w) : 0;
+            double warm = warmth(w, now);
+            cooling |= warm < 1;
+            w.cold = w.ready && warm < 1;
+            weight[i] = w.ready ? warm * slots(w) / pace(w) : 0;
+            if (!w.cold) continue;
+            cold += weight[i];
+            ending += endsCold(j, w, now) ? weight[i] : 0;
+            weight[i] *= lots;
         }
+        if (cold > 0) passed += GAIN * Math.min(4, j.r.hintUs / serviceUs) * (ending / cold - passed);
         int at = draw();
         W w = at < 0 ? null : workers.get(at);
-        boolean open = w != null && w.cold && now >= w.asideUntilUs && fits(j, w);
-        // It runs slower by what it lacks; nobody sends it more than such lots, so unheard it has room.
-        boolean ends = open && now + j.r.hintUs * pace(w) / warmth(w, now) < j.aimUs;
-        return ends && slots(w) - busy(w, now) >= j.slots ? w : null;
+        boolean open = w != null && w.cold && now >= w.asideUntilUs && fits(j, w) && endsCold(j, w, now);
+        return open && slots(w) - busy(w, now) >= j.slots ? w : null;
+    }
+
+    /** A cold worker runs slower by what it lacks. */
+    private boolean endsCold(Job j, W w, long now) {
+        return now + j.r.hintUs * pace(w) / warmth(w, now) < j.aimUs;
     }
 
     /** Departure: a run's pace, of its hint, by the list's size for a slot and as its kind was seen. */
@@ -549,7 +558,7 @@
     }
 
     private double weighSpan(Job j, long now) {
-        ranked = fitting = 0;
+        fitting = 0;
         boolean late = now > latestStart(j);
         double sum = 0, errors = 0, fills = PRIOR * 0.5, trust = PRIOR, homeFills = fills, homeTrust = trust;
         for (int n = 0; n < span; n++) {
@@ -580,13 +589,12 @@
             room *= now + j.r.hintUs * pace(w) > j.aimUs ? TOO_SLOW : 1;
             weight[i] = Math.max(0, room * home(w));
             sum += weight[i];
-            if (j.r.key != 0 && weight[i] > 0) rank(i, mix(j.r.key ^ w.hash));
         }
         meanFill = fills / trust;
         meanErrors = errors / trust;
         double crowded = Math.max(0, homeFills / homeTrust - meanFill) / Math.max(1 - meanFill, PRIOR);
         crossing = set.priceCrossZone > 0 ? ABROAD + (1 - ABROAD) * Math.min(1, crowded * crowded) : 1;
-        if (sum > 0) return j.r.key == 0 ? sum : byKey();
+        if (sum > 0) return j.r.key == 0 ? sum : byKey(j.r.key);
         for (int n = 0; n < span; n++) {
             int i = at(n);
             W w = workers.get(i);
@@ -607,27 +615,19 @@
             && (j.slots <= 1 || j.slots <= slots(w) + 0.5 || kindSlots[w.e.kind] <= 1);
     }
 
-    /** Keeps the workers of highest hash with the key, best first. */
-    private void rank(int at, long hash) {
-        if (ranked == RANKS && hash <= rankHash[RANKS - 1]) return;
-        ranked = Math.min(ranked + 1, RANKS);
-        int i = ranked - 1;
-        for (; i > 0 && rankHash[i - 1] < hash; i--) {
-            rankHash[i] = rankHash[i - 1];
-            rankAt[i] = rankAt[i - 1];
-        }
-        rankHash[i] = hash;
-        rankAt[i] = at;
-    }
-
     /**
      * Departure: where jobs carry keys, room counts by the chance that the worker holds what the key needs:
      * full at the first worker by a hash of key and id, the same at every dispatcher, less at each next one.
      */
-    private double byKey() {
-        double sum = 0, chance = 1 / UNRANKED;
-        for (int k = 0; k < ranked; k++, chance *= NEXT_BY_KEY) weight[rankAt[k]] *= chance;
-        for (int i = 0; i < workers.size(); i++) sum += weight[i] *= UNRANKED;
+    private double byKey(long key) {
+        List<Integer> order = new ArrayList<>();
+        for (int i = 0; i < workers.size(); i++) if (weight[i] > 0) order.add(i);
+        order.sort(Comparator.comparing(i -> -mix(key ^ workers.get(i).hash)));
+        double sum = 0, chance = 1;
+        for (int i : order) {
+            sum += weight[i] *= chance;
+            chance = Math.max(chance * NEXT_BY_KEY, UNRANKED);
+        }
         return sum;
     }
 
--- a/core/src/test/java/hookweir/ManyDispatchersTest.java
+++ b/core/src/test/java/hookweir/ManyDispatchersTest.java
@@ -59,6 +59,11 @@
 
     /** Shares of jobs that go to a cold worker nobody has heard, beside a warm one that is full. */
     private static double toCold(long hintUs, long afterUs) {
+        return toCold(hintUs, afterUs, 1);
+    }
+
+    /** After so many jobs that are too long for it. */
+    private static double toCold(long hintUs, long afterUs, int longJobs) {
         Contract.Settings s = settings(Effect.SAFE);
         s.coldShare = 0.25;
         int cold = 0;
@@ -70,11 +75,13 @@
             h.pass(afterUs);
             h.report(1, 4);
             h.report(1, 0);
-            Contract.Request before = h.request(1, s);
-            before.hintUs = 800_000; // too long for the cold one: held, and the fleet known to be full
-            h.policy.request(h.now, before);
+            for (int job = 1; job <= longJobs; job++) {
+                Contract.Request before = h.request(job, s);
+                before.hintUs = 800_000; // too long for the cold one: held, and the fleet known to be full
+                h.policy.request(h.now, before);
+            }
             h.sentTo.clear();
-            Contract.Request r = h.request(2, s);
+            Contract.Request r = h.request(1 + longJobs, s);
             r.hintUs = hintUs;
             h.policy.request(h.now, r);
             cold += !h.sentTo.isEmpty() && h.sentTo.get(0) == 2 ? 1 : 0;
@@ -89,6 +96,12 @@
         assertEquals(0.456, toCold(100_000, 5_000_000), 0.07); // 0.625 * 1.34 of 1.84
     }
 
+    /** Else it idles while short jobs are turned away: most of the work is not for it, so it takes more of what is. */
+    @Test
+    void whereMostWorkIsTooLongForAColdWorkerItTakesMoreOfTheShortJobs() {
+        assertEquals(0.53, toCold(100_000, 0, 80), 0.08); // 0.25 * 4.5 of 2.125
+    }
+
     @Test
     void aColdWorkerGetsNoJobThatItsSlowRunWouldMakeLate() {
         assertEquals(0, toCold(300_000, 0)); // four times as long: 1.2 s of 1 s
