--- a/core/src/test/java/hookweir/LargeFleetTest.java
+++ b/core/src/test/java/hookweir/LargeFleetTest.java
@@ -81,4 +81,57 @@
             assertTrue(i % 250 == 7 ? to[i] > FEW / 8 : to[i] == 0, "worker " + i + " got " + to[i]);
         }
     }
+
+    private static Contract.Worker[] named(int from, int to) {
+        Contract.Worker[] fleet = new Contract.Worker[to - from];
+        for (int i = from; i < to; i++) {
+            fleet[i - from] = worker(i);
+        }
+        return fleet;
+    }
+
+    /** Which of 20 workers get jobs: as a bit each. */
+    private static int reached(RecordingHost h, Contract.Settings s, int firstJob) {
+        int bits = 0;
+        for (int id = firstJob; id < firstJob + FEW; id++) {
+            h.now += 4_000_000;
+            h.take(id, s);
+            int worker = h.sentTo.get(h.sentTo.size() - 1);
+            bits |= 1 << worker;
+            h.policy.outcome(h.now, id, 0, worker, Outcome.OK, 500_000, true, null);
+        }
+        return bits;
+    }
+
+    /** A list that shrinks by half and comes back: nobody who left it gets a job, and all who came back do. */
+    @Test
+    void aListThatShrinksByHalfAndComesBackIsFollowed() {
+        Contract.Settings s = settings(Contract.Effect.SAFE);
+        RecordingHost h = RecordingHost.with(s, 3);
+        h.fleet(named(0, 20));
+        assertEquals(0xfffff, reached(h, s, 1));
+        h.fleet(named(0, 10));
+        assertEquals(0x3ff, reached(h, s, 1_001));
+        h.fleet(named(0, 20));
+        assertEquals(0xfffff, reached(h, s, 2_001));
+    }
+
+    /** Six in ten names go and as many new ones come within a second; a job out at one that went is told of its end all the same. */
+    @Test
+    void sixInTenNamesReplacedWithinASecond() {
+        Contract.Settings s = settings(Contract.Effect.SAFE);
+        RecordingHost h = RecordingHost.with(s, 3);
+        h.fleet(named(0, 12));
+        h.take(9_999, s);
+        int first = h.sentTo.get(0);
+        for (int gone = 0; gone < 7; gone++) {
+            h.now += 100_000;
+            Contract.Worker w = worker(gone);
+            w.state = Contract.State.GONE;
+            h.change(w, worker(13 + gone));
+        }
+        h.policy.outcome(h.now, 9_999, 0, first, Outcome.RESET, 700_000, false, null);
+        assertTrue(h.sentTo.get(1) >= 7 && h.sentTo.get(1) != first, "again at " + h.sentTo.get(1));
+        assertEquals(0xfff80 & ~(1 << 12), reached(h, s, 1));
+    }
 }
