Count own jobs from send to end, and read reports as telling of the other schedulers' jobs

Cause: Policy.known let own sends fade with a mean job's time, so that long jobs were piled on each other; Policy.heard kept a report's busy slots whole though own jobs among them had ended, and did not know which of them were its own. Change: own jobs count until they end; what of a report own jobs were when it was made comes off, by what was sent and ended within the age of reports. Where no slots are told own jobs fade as before. Room abroad counts by the price of crossing, not by how crowded home is, which made room in the policy.

--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -31,10 +31,9 @@
     private static final double STALE_GAIN = 0.3; // step to a longer report period: one odd one can't set it
     private static final double RECHECK = 0.15; // mean jobs until a held job looks again: so slots free up
     private static final long LEAST_GAP_US = 20_000; // between looks at a worker, however many jobs come
-    private static final double ABROAD = 0.1; // room abroad counts so much where crossing costs anything
+    private static final double ABROAD = 0.008; // over the price of crossing: so much room abroad counts
     private static final double NEXT_BY_KEY = 0.2; // room at a key's next worker, of the one before it
     private static final int SAMPLE = 64; // workers weighed for a job in a fleet of more than twice as many
-    private static final double UNRANKED = 1e-6; // ...and at the last ones next to nothing
     private static final double LEAST_ROOM = 0.5; // less by a fresh figure reads as full
     private static final double TOO_SLOW = 0.1; // room at a worker whose pace ends a job after its aim
     private static final double COLD_WORK = 0.45; // for a cold worker, of the multiple that pushes it over
@@ -58,9 +57,9 @@
         Contract.Worker e;
         int failures;
         boolean ready, cold, listed, checkOut;
-        long hash, listedStartUs, startedUs, heardUs, sentUs, figureUs, fullUntilUs, asideUntilUs;
+        long hash, listedStartUs, startedUs, heardUs, recentUs, figureUs, fullUntilUs, asideUntilUs;
         double busy = Double.NaN, serviceMs = Double.NaN;
-        double free, utilization, sizeMax, sent, fresh, bad, errors;
+        double free, utilization, sizeMax, out, recent, fresh, bad, errors;
         long badUs;
     }
 
@@ -89,7 +88,7 @@
     private int watchFailures, from, span, fitting;
     private double[] weight = new double[64], kindSlots = {}, kindPace = {};
     private double serviceUs = 1e6, staleUs, lookUs, arrivals;
-    private double crossing, passed = 0.67, meanPace = 1, meanFill = 0.5, meanErrors, meanMs = Double.NaN;
+    private double passed = 0.67, meanPace = 1, meanFill = 0.5, meanErrors, meanMs = Double.NaN;
     private long random, arrivalsUs, leaveUs, turnedUs = Long.MIN_VALUE / 2;
     private boolean started, watching, cooling; // cooling: some worker may be cold
 
@@ -99,7 +98,6 @@
         random = seed;
         salt = mix(seed);
         for (RequestClass c : settings.classes) serviceUs = Math.min(serviceUs, c.aimUs);
-        crossing = settings.priceCrossZone > 0 ? ABROAD : 1;
         lookUs = staleUs = 4.0 * settings.tickUs;
         retune(0, settings);
     }
@@ -168,7 +166,7 @@
         w.cold = startedUs > 0;
         cooling |= w.cold;
         w.busy = w.serviceMs = Double.NaN;
-        w.sent = w.bad = w.errors = w.failures = 0;
+        w.out = w.recent = w.bad = w.errors = w.failures = 0;
         w.asideUntilUs = w.fullUntilUs = 0;
     }
 
@@ -294,7 +292,10 @@
             return;
         }
         double room = weigh(j, now);
-        if (j.looks != null && room > 0) keepLooked(j);
+        for (int n = 0; j.looks != null && room > 0 && n < span; n++) {
+            W w = workers.get(at(n));
+            if (w.checkOut || !j.looks.contains(w)) weight[at(n)] = 0;
+        }
         int at = draw();
         boolean inTime = now < latestStart(j);
         // Departure: where those looked at have no room, others are looked at: few requests, old figures.
@@ -352,8 +353,7 @@
         j.out++;
         j.firstRunUs = j.firstRun == null ? now : j.firstRunUs;
         j.firstRun = j.firstRun == null ? w : j.firstRun;
-        w.sent = known(w, now) + j.slots;
-        w.sentUs = now;
+        count(w, j.slots, now);
         host.send(j.r.id, w.e.id, 0);
     }
 
@@ -408,6 +408,7 @@
                 w.fullUntilUs = now + (long) Math.min(staleUs, 2 * serviceUs / slots(w));
                 heard(w, now, slots(w) * 1.1);
             }
+            count(w, j == null ? 0 : -j.slots, now);
         }
         if (j == null) return;
         j.out--;
@@ -507,9 +508,8 @@
 
     /** The newest figure: so many slots were busy. What was sent while reports age is not in it yet. */
     private void heard(W w, long now, double busy) {
-        if (w.sent > 0) w.sent = known(w, now) * (1 - fade((long) staleUs, serviceUs));
-        w.sentUs = w.heardUs = now;
-        w.busy = busy;
+        w.heardUs = now;
+        w.busy = Math.max(0, busy - Math.max(0, known(w, now) - recent(w, now)));
     }
 
     /** T of the design; workers of one kind are taken to be alike, as few of them are ever seen empty. */
@@ -517,9 +517,21 @@
         return Math.max(1, kindSlots[w.e.kind]);
     }
 
-    /** Departure: slots that own sends still hold count as busy at once, fading at the pace jobs end. */
+    /** Departure: slots of own jobs are busy from send to end; reports tell of the others alone. */
+    private void count(W w, double slots, long now) {
+        w.out = Math.max(0, known(w, now) + slots);
+        w.recent = recent(w, now) + slots;
+        w.recentUs = now;
+    }
+
+    /** Own jobs there; where slots are not told they fade as jobs end, or one would fill a worker. */
     private double known(W w, long now) {
-        return w.sent == 0 ? 0 : w.sent * fade(now - w.sentUs, serviceUs);
+        return kindSlots[w.e.kind] > 0 ? w.out : w.out * fade(now - w.recentUs, serviceUs);
+    }
+
+    /** Own sends less own ends that no report can tell yet. */
+    private double recent(W w, long now) {
+        return w.recent == 0 ? 0 : w.recent * fade(now - w.recentUs, staleUs);
     }
 
     /** From 1 towards 0, like exp(-age / scale) but cheap: it is taken for each worker at each draw. */
@@ -533,7 +545,8 @@
         boolean unheard = Double.isNaN(w.busy);
         w.fresh = unheard ? 0 : fade(now - w.heardUs + (long) (staleUs / 2), serviceUs);
         double figure = unheard ? 0 : w.busy * w.fresh;
-        return figure + slots(w) * (w.cold ? 0 : meanFill) * (1 - w.fresh) + known(w, now);
+        double own = known(w, now), mean = w.cold ? 0 : slots(w) * meanFill;
+        return figure + w.fresh * own + (1 - w.fresh) * Math.max(own, mean);
     }
 
     // ---- the draw ----
@@ -560,18 +573,15 @@
     private double weighSpan(Job j, long now) {
         fitting = 0;
         boolean late = now > latestStart(j);
-        double sum = 0, errors = 0, fills = PRIOR * 0.5, trust = PRIOR, homeFills = fills, homeTrust = trust;
+        double sum = 0, errors = 0, fills = PRIOR * 0.5, trust = PRIOR;
         for (int n = 0; n < span; n++) {
             int i = at(n);
             W w = workers.get(i);
             weight[i] = 0;
             if (!w.ready) continue;
             double total = slots(w), room = total - busy(w, now);
-            double fill = w.fresh > 0 ? w.fresh * Math.min(1, w.busy / total) : 0;
-            fills += fill;
+            fills += w.fresh > 0 ? w.fresh * Math.min(1, (w.busy + w.out) / total) : 0;
             trust += w.fresh;
-            homeFills += w.e.zone == set.zone ? fill : 0;
-            homeTrust += w.e.zone == set.zone ? w.fresh : 0;
             errors += w.errors * w.fresh;
             if (w.cold || !fits(j, w)) continue;
             fitting++;
@@ -592,8 +602,6 @@
         }
         meanFill = fills / trust;
         meanErrors = errors / trust;
-        double crowded = Math.max(0, homeFills / homeTrust - meanFill) / Math.max(1 - meanFill, PRIOR);
-        crossing = set.priceCrossZone > 0 ? ABROAD + (1 - ABROAD) * Math.min(1, crowded * crowded) : 1;
         if (sum > 0) return j.r.key == 0 ? sum : byKey(j.r.key);
         for (int n = 0; n < span; n++) {
             int i = at(n);
@@ -603,9 +611,9 @@
         return 0;
     }
 
-    /** Departure: room abroad counts for less where crossing costs, the less so the fuller home is. */
+    /** Departure: room abroad counts for less where crossing costs. */
     private double home(W w) {
-        return w.e.zone == set.zone ? 1 : crossing;
+        return w.e.zone == set.zone ? 1 : Math.min(1, ABROAD / Math.max(set.priceCrossZone, 1e-9));
     }
 
     /** The worker can run the job, may by rule 2, and is not the one that just failed to. */
@@ -626,7 +634,7 @@
         double sum = 0, chance = 1;
         for (int i : order) {
             sum += weight[i] *= chance;
-            chance = Math.max(chance * NEXT_BY_KEY, UNRANKED);
+            chance *= NEXT_BY_KEY;
         }
         return sum;
     }
@@ -646,13 +654,6 @@
         return last;
     }
 
-    private void keepLooked(Job j) {
-        for (int n = 0; n < span; n++) {
-            W w = workers.get(at(n));
-            if (w.checkOut || !j.looks.contains(w)) weight[at(n)] = 0;
-        }
-    }
-
     private void check(W w) {
         if (!w.checkOut) host.probe(w.e.id);
         w.checkOut = true;
@@ -663,8 +664,8 @@
         double rate = arrivals * fade(now - arrivalsUs, RATE_WINDOW_S * 1e6) / RATE_WINDOW_S;
         double perS = checksPerRequest * rate * (believed(null) ? TIMED_SHARE : 1);
         double alpha = Math.max(FLOOR_ALPHA, perS / workers.size() / Math.max(meanFill, FLOOR_FILL));
-        double fill = Double.isNaN(w.busy) ? 1 : Math.max(FLOOR_FILL, Math.min(1, w.busy / slots(w)));
-        double gap = Math.max(LEAST_GAP_US, 1e6 / (fill * alpha)) * (0.75 + uniform() / 2);
+        double fill = Double.isNaN(w.busy) ? 1 : Math.min(1, (w.busy + w.out) / slots(w));
+        double gap = Math.max(LEAST_GAP_US, 1e6 / (Math.max(FLOOR_FILL, fill) * alpha)) * (0.75 + uniform() / 2);
         double left = Math.max(w.heardUs, w.figureUs) + gap - now;
         if (left <= set.tickUs && w.ready) {
             if (checksOn) check(w);
--- a/core/src/test/java/hookweir/PolicyDrawTest.java
+++ b/core/src/test/java/hookweir/PolicyDrawTest.java
@@ -156,8 +156,14 @@
 
     @Test
     void homeCountsMoreWhereCrossingCosts() {
+        assertEquals(1 / 11.0, abroad(0.08), 0.05);
+        assertEquals(0.25, abroad(0.024), 0.07); // a third of the room
+        assertEquals(0.5, abroad(0), 0.08);
+    }
+
+    private static double abroad(double price) {
         Contract.Settings s = settings(Contract.Effect.SAFE);
-        s.priceCrossZone = 0.03;
+        s.priceCrossZone = price;
         int abroad = 0;
         for (int seed = 0; seed < DRAWS; seed++) {
             RecordingHost h = RecordingHost.with(s, seed);
@@ -167,7 +173,7 @@
             h.take(1, s);
             abroad += Collections.frequency(h.sentTo, 2);
         }
-        assertEquals(1 / 11.0, abroad / (double) DRAWS, 0.05);
+        return abroad / (double) DRAWS;
     }
 
     @Test
--- a/core/src/test/java/hookweir/PolicyRulesTest.java
+++ b/core/src/test/java/hookweir/PolicyRulesTest.java
@@ -147,7 +147,10 @@
             h.report(0, 8);
             int before = h.sentTo.size();
             h.take(i, s);
-            cold += h.sentTo.size() > before && h.sentTo.get(before) == 0 ? 1 : 0;
+            if (h.sentTo.size() > before && h.sentTo.get(before) == 0) {
+                cold++;
+                h.ends(i, 0, 0, Outcome.OK, true);
+            }
             Contract.Request again = h.request(n + i, s);
             again.repeat = true;
             before = h.sentTo.size();
