--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -664,8 +664,8 @@
         double rate = arrivals * fade(now - arrivalsUs, RATE_WINDOW_S * 1e6) / RATE_WINDOW_S;
         double perS = checksPerRequest * rate * (believed(null) ? TIMED_SHARE : 1);
         double alpha = Math.max(FLOOR_ALPHA, perS / workers.size() / Math.max(meanFill, FLOOR_FILL));
-        double fill = Double.isNaN(w.busy) ? 1 : Math.min(1, (w.busy + w.out) / slots(w));
-        double gap = Math.max(LEAST_GAP_US, 1e6 / (Math.max(FLOOR_FILL, fill) * alpha)) * (0.75 + uniform() / 2);
+        double u = Double.isNaN(w.busy) ? 1 : Math.min(1, (w.busy + w.out) / slots(w));
+        double gap = Math.max(LEAST_GAP_US, 1e6 / (Math.max(FLOOR_FILL, u) * alpha)) * (0.75 + uniform() / 2);
         double left = Math.max(w.heardUs, w.figureUs) + gap - now;
         if (left <= set.tickUs && w.ready) {
             if (checksOn) check(w);
