Read whose a request is from Req-Owner, and name faults of tenants and shares by their key

A portion of 1.77 or an over_share_worth of 2 was taken without a word. Cause: Framing kept no such header, ExchangeParser set no tenant, SettingsMapping read allowances without names or bounds. Change: owners are numbered by the names of orgs; one that is missing or unknown is nobody's, served like any other and counted. The new tests fail before.

--- a/core/src/main/java/hookweir/Contract.java
+++ b/core/src/main/java/hookweir/Contract.java
@@ -200,7 +200,7 @@
         public int id;
         /** Its class. */
         public int requestClass;
-        /** Its tenant. */
+        /** Its tenant, by its place in {@link Settings#tenantRate}; -1: none of them. */
         public int tenant;
         /** A rough guess of its cost in core time; 0: none. */
         public long hintUs;
--- a/node/src/main/java/hookweir/config/SettingsMapping.java
+++ b/node/src/main/java/hookweir/config/SettingsMapping.java
@@ -27,6 +27,8 @@
     public final List<String> classNames = new ArrayList<>();
     /** The numbers of the classes that there are now. */
     public final Map<String, Integer> classNumbers = new LinkedHashMap<>();
+    /** The numbers of the tenants; none where requests have no owner. */
+    public final Map<String, Integer> tenantNumbers = new LinkedHashMap<>();
     public String[] zones = new String[0];
     public String[] kinds = new String[0];
     /** A connection not up by then counts as failed. */
@@ -58,7 +60,7 @@
         n = count("orgs.count");
         s.tenantRate = new double[n];
         for (int i = 0; i < n; i++) {
-            s.tenantRate[i] = number("orgs." + i + ".allowance_per_s", 0);
+            readTenant("orgs." + i + ".", i);
         }
         s.me = (int) whole("me", 0);
         s.dispatchers = (int) whole("instances", 1);
@@ -66,7 +68,7 @@
         s.askForList = word("discovery", "push").equals("ask");
         s.askWithinUs = whole("rules.ask_within_us", 0);
         s.drainGraceUs = whole("rules.drain_grace_us", 0);
-        s.coldShare = number("rules.cold_share", s.coldShare);
+        s.coldShare = share("rules.cold_share", s.coldShare);
         s.warmWithinUs = whole("rules.warm_within_us", 0);
         s.fallMultiple = number("rules.fall_multiple", s.fallMultiple);
         s.fallUs = whole("rules.fall_us", s.fallUs);
@@ -95,7 +97,7 @@
         s.pricePeer = number("prices.peer", 0);
         s.priceWaste = number("prices.waste", 0);
         s.priceLateFail = number("prices.late_fail", 0);
-        s.overShareWorth = number("over_share_worth", 1);
+        s.overShareWorth = share("over_share_worth", 1);
         s.tellsStart = flag("family_info.tells_start");
         s.progressUs = whole("family_info.progress_us", 0);
         s.headBlocks = word("family_info.queue_order", "fifo").equals("fifo");
@@ -141,6 +143,27 @@
             && a.kind == b.kind && a.priority == b.priority;
     }
 
+    private void readTenant(String path, int index) throws BadSetting {
+        String name = word(path + "name", "");
+        if (!name.isEmpty() && tenantNumbers.putIfAbsent(name, index) != null) {
+            throw new BadSetting(path + "name", "names '" + name + "', which an earlier one does");
+        }
+        settings.tenantRate[index] = number(path + "allowance_per_s", 0);
+        if (settings.tenantRate[index] < 0) {
+            throw bad(path + "allowance_per_s", values.get(path + "allowance_per_s"));
+        }
+        share(path + "portion", 0);
+    }
+
+    /** A share of something, from 0 to 1. */
+    private double share(String key, double otherwise) throws BadSetting {
+        double v = number(key, otherwise);
+        if (v < 0 || v > 1) {
+            throw new BadSetting(key, "must be a share from 0 to 1, not '" + values.get(key) + "'");
+        }
+        return v;
+    }
+
     private RequestClass readClass(String path, int index) throws BadSetting {
         RequestClass c = new RequestClass();
         c.aimUs = whole(path + "aim_us", c.aimUs);
--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -247,7 +247,7 @@
         figures.classes(List.copyOf(mapped.classNumbers.keySet()));
         probeLimitUs = PROBE_DIAL_LIMITS * mapped.dialTimeoutUs;
         room.classes(settings.classes);
-        exchangeParser = new ExchangeParser(mapped.classNumbers, settings.classes);
+        exchangeParser = new ExchangeParser(mapped.classNumbers, settings.classes, mapped.tenantNumbers);
         loadReport = new LoadReport(mapped.reportFields);
     }
 
@@ -367,6 +367,9 @@
             ingress.answer(from, 429, comeBack(), NOTHING);
             return false;
         }
+        if (r.tenant == ExchangeParser.NOBODY) {
+            invariants.count("exchanges of no known owner");
+        }
         Exchange x = new Exchange(r, request, from);
         exchanges.put(r.id, x);
         byName.put(request.headers().id(), x);
--- a/node/src/main/java/hookweir/net/ingress/ExchangeParser.java
+++ b/node/src/main/java/hookweir/net/ingress/ExchangeParser.java
@@ -11,9 +11,12 @@
     private static final int MOST_HEX_DIGITS = 16;
     private static final int MOST_DEADLINE_DIGITS = 9;
     private static final int MOST_ID_CHARS = 128;
+    /** The tenant of a request that names none of those in the settings. */
+    public static final int NOBODY = -1;
 
     private final Map<String, Integer> classes;
     private final List<Contract.RequestClass> classList;
+    private final Map<String, Integer> tenants;
 
     /** Headers that make no request; the message says which. */
     public static final class BadRequest extends Exception {
@@ -24,8 +27,9 @@
         }
     }
 
-    /** Knows the classes of these numbers, of the classes in that list. */
-    public ExchangeParser(Map<String, Integer> classNumbers, List<Contract.RequestClass> classList) {
+    /** Knows the classes of these numbers, of the classes in that list, and the tenants of these; none where requests have no owner. */
+    public ExchangeParser(Map<String, Integer> classNumbers, List<Contract.RequestClass> classList, Map<String, Integer> tenantNumbers) {
+        tenants = tenantNumbers;
         classes = classNumbers;
         this.classList = classList;
     }
@@ -49,6 +53,7 @@
         r.hintUs = h.cost() == null ? 0 : whole("Req-Cost", h.cost(), Integer.MAX_VALUE * 2L);
         r.repeat = "1".equals(h.retry());
         r.key = key(path);
+        r.tenant = tenantOf(h.owner());
         if (h.extra() != null && !h.extra().isEmpty()) {
             extras(r, h.extra());
         }
@@ -61,6 +66,11 @@
         return number == null ? -1 : number;
     }
 
+    /** Where requests have owners, one without a known owner has no share in the fleet: nobody's, but a job all the same. */
+    private int tenantOf(String owner) {
+        return tenants.isEmpty() ? 0 : owner == null ? NOBODY : tenants.getOrDefault(ConfigReader.wireWord(owner), NOBODY);
+    }
+
     private static void extras(Contract.Request r, String text) throws BadRequest {
         for (String pair : text.split(",")) {
             int eq = pair.indexOf('=');
--- a/node/src/main/java/hookweir/net/ingress/Framing.java
+++ b/node/src/main/java/hookweir/net/ingress/Framing.java
@@ -17,7 +17,7 @@
     private static final int FIRST_CHUNKED = 1024;
     /** Those that decide what a request is: each may come once, and not behind the body. */
     private static final String[] DECIDING = {"content-length", "transfer-encoding", "host", "upgrade", "expect",
-        "idempotency-key", "req-id", "req-kind", "req-deadline-ms", "req-retry", "req-cost", "req-extra"};
+        "idempotency-key", "req-id", "req-kind", "req-deadline-ms", "req-retry", "req-cost", "req-extra", "req-owner"};
     private static final Set<String> METHODS = Set.of("GET", "HEAD", "POST");
 
     private static final int METHOD_NOT_ALLOWED = 405;
@@ -90,7 +90,7 @@
 
     /** The class of the request whose body was announced, as sent; null where it named none. */
     String kind() {
-        return deciding[DECIDING.length - 5];
+        return deciding[DECIDING.length - 6];
     }
 
     /** The path of the request whose body was announced. */
@@ -269,9 +269,9 @@
 
     @Override
     protected void ended() {
-        int i = DECIDING.length - 6;
+        int i = DECIDING.length - 7;
         IngressRequest.Headers told = new IngressRequest.Headers(deciding[i], deciding[i + 1], deciding[i + 2], deciding[i + 3],
-            deciding[i + 4], deciding[i + 5], deciding[i - 1], contentType);
+            deciding[i + 4], deciding[i + 5], deciding[i + 6], deciding[i - 1], contentType);
         request = new IngressRequest(method, path, query, told, bodyBytes == body.length ? body : Arrays.copyOf(body, bodyBytes),
             keepAlive(), oldVersion);
         body = NOTHING;
--- a/node/src/main/java/hookweir/net/ingress/IngressRequest.java
+++ b/node/src/main/java/hookweir/net/ingress/IngressRequest.java
@@ -15,7 +15,7 @@
     boolean oldVersion) {
 
     /** The headers of a client's request; each is null where absent. */
-    public record Headers(String id, String kind, String deadlineMs, String retry, String cost, String extra,
+    public record Headers(String id, String kind, String deadlineMs, String retry, String cost, String extra, String owner,
         String idempotencyKey, String contentType) {
     }
 }
--- a/node/src/test/java/hookweir/config/ConfigReaderTest.java
+++ b/node/src/test/java/hookweir/config/ConfigReaderTest.java
@@ -104,6 +104,22 @@
         assertEquals("RELAY_HANDOVER", assertThrows(BadSetting.class, () -> read(off, Map.of("RELAY_HANDOVER", "maybe"))).key);
     }
 
+    private static final String SHARED = GOOD.replace("'me':3",
+        "'me':3,'over_share_worth':0.2,'rules':{'cold_share':0.34},'orgs':[{'name':'x','allowance_per_s':4.5,'portion':0.77},{'name':'y','portion':0.23}]");
+
+    @Test
+    void tenantsAndTheirSharesAreRead() throws Exception {
+        Config c = read(SHARED, Map.of());
+        assertEquals(Map.of("x", 0, "y", 1), c.settings().tenantNumbers);
+        assertEquals(4.5, c.settings().settings.tenantRate[0]);
+        assertEquals(0.2, c.settings().settings.overShareWorth);
+        for (String[] fault : new String[][] {{"0.77", "1.77", "orgs.0.portion"}, {"0.23", "-0.1", "orgs.1.portion"}, {"0.23", "'much'", "orgs.1.portion"},
+            {"4.5", "-1", "orgs.0.allowance_per_s"}, {"'over_share_worth':0.2", "'over_share_worth':2", "over_share_worth"},
+            {"'name':'y',", "", "orgs.1.name"}, {"'name':'y'", "'name':'x'", "orgs.1.name"}, {"0.34", "3.4", "rules.cold_share"}}) {
+            assertEquals(fault[2], assertThrows(BadSetting.class, () -> read(SHARED.replace(fault[0], fault[1]), Map.of()), fault[2]).key);
+        }
+    }
+
     @Test
     void faultsNameTheirKey() {
         for (String[] fault : new String[][] {{"'127.0.0.1:1'", "'nowhere'", "listen"}, {"'127.0.0.1:2'", "'1.2.3.4:99999'", "discovery"},
