--- a/node/src/test/java/hookweir/DeployTest.java
+++ b/node/src/test/java/hookweir/DeployTest.java
@@ -7,6 +7,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
@@ -34,6 +36,25 @@
         assertTrue(run.endsWith(" serve"), run);
     }
 
+    /** One program for all who run it: what differs between them is in the settings, never behind a name. */
+    @Test
+    void noOperatorSiteOrClassIsNamedInTheSources() throws IOException {
+        Pattern names = Pattern.compile("kyte|k[uü]ttel|r[eé]par'?armor|reparo|kemper|tallinn|tartu|parnu|rennes|brest|atelier|calc-workers|live-status"
+            + "|usage-report|billing-post|load-order|part-reserve|repair-quote", Pattern.CASE_INSENSITIVE | Pattern.UNICODE_CASE);
+        int read = 0;
+        for (Path sources : List.of(SOURCES, Path.of("../core").resolve(SOURCES))) {
+            try (Stream<Path> files = Files.walk(sources)) {
+                for (Path f : files.filter(p -> p.toString().endsWith(".java")).toList()) {
+                    Matcher named = names.matcher(Files.readString(f));
+                    assertFalse(named.find(), () -> f + " names " + named.group());
+                    read++;
+                }
+            }
+        }
+        assertTrue(read > 50, "sources read: " + read);
+        assertTrue(names.matcher("if (site.equals(\"Kyte-main\"))").find());
+    }
+
     @Test
     void theSchedulerStartsNoProgramAndSendsNoFile() throws IOException {
         try (Stream<Path> files = Files.walk(SOURCES)) {
