--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -31,7 +31,7 @@
     private static final double STALE_GAIN = 0.3; // step to a longer report period: one odd one can't set it
     private static final double RECHECK = 0.15; // mean jobs until a held job looks again: so slots free up
     private static final long LEAST_GAP_US = 20_000; // between looks at a worker, however many jobs come
-    private static final double ABROAD = 0.008; // over the price of crossing: so much room abroad counts
+    private static final double ABROAD = 0.1; // room abroad counts so much where crossing costs anything
     private static final double NEXT_BY_KEY = 0.2; // room at a key's next worker, of the one before it
     private static final int SAMPLE = 64; // workers weighed for a job in a fleet of more than twice as many
     private static final double LEAST_ROOM = 0.5; // less by a fresh figure reads as full
@@ -613,7 +613,7 @@
 
     /** Departure: room abroad counts for less where crossing costs. */
     private double home(W w) {
-        return w.e.zone == set.zone ? 1 : Math.min(1, ABROAD / Math.max(set.priceCrossZone, 1e-9));
+        return w.e.zone == set.zone || set.priceCrossZone <= 0 ? 1 : ABROAD;
     }
 
     /** The worker can run the job, may by rule 2, and is not the one that just failed to. */
