Read-over: places of deciding headers by name, and a figure's doc that says what it does

Framing found the class and the parts of a request by counting from the end of its list of headers, so each header added at the end, as Req-Owner was, shifted three numbers; it finds them from the key's and the id's own place now. Policy.heard's comment told of the sends that it no longer corrects for; Policy.recent had a shortcut that its product gives as well. Behaviour is the same; tests unchanged.

--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -506,7 +506,7 @@
         }
     }
 
-    /** The newest figure: so many slots were busy. What was sent while reports age is not in it yet. */
+    /** The newest figure: so many slots were busy; what of them own jobs were when it was made comes off. */
     private void heard(W w, long now, double busy) {
         w.heardUs = now;
         w.busy = Math.max(0, busy - Math.max(0, known(w, now) - recent(w, now)));
@@ -531,7 +531,7 @@
 
     /** Own sends less own ends that no report can tell yet. */
     private double recent(W w, long now) {
-        return w.recent == 0 ? 0 : w.recent * fade(now - w.recentUs, staleUs);
+        return w.recent * fade(now - w.recentUs, staleUs);
     }
 
     /** From 1 towards 0, like exp(-age / scale) but cheap: it is taken for each worker at each draw. */
--- a/node/src/main/java/hookweir/net/ingress/Framing.java
+++ b/node/src/main/java/hookweir/net/ingress/Framing.java
@@ -18,6 +18,8 @@
     /** Those that decide what a request is: each may come once, and not behind the body. */
     private static final String[] DECIDING = {"content-length", "transfer-encoding", "host", "upgrade", "expect",
         "idempotency-key", "req-id", "req-kind", "req-deadline-ms", "req-retry", "req-cost", "req-extra", "req-owner"};
+    private static final int KEY = Arrays.asList(DECIDING).indexOf("idempotency-key");
+    private static final int ID = KEY + 1;
     private static final Set<String> METHODS = Set.of("GET", "HEAD", "POST");
 
     private static final int METHOD_NOT_ALLOWED = 405;
@@ -90,7 +92,7 @@
 
     /** The class of the request whose body was announced, as sent; null where it named none. */
     String kind() {
-        return deciding[DECIDING.length - 6];
+        return deciding[ID + 1];
     }
 
     /** The path of the request whose body was announced. */
@@ -269,9 +271,8 @@
 
     @Override
     protected void ended() {
-        int i = DECIDING.length - 7;
-        IngressRequest.Headers told = new IngressRequest.Headers(deciding[i], deciding[i + 1], deciding[i + 2], deciding[i + 3],
-            deciding[i + 4], deciding[i + 5], deciding[i + 6], deciding[i - 1], contentType);
+        IngressRequest.Headers told = new IngressRequest.Headers(deciding[ID], deciding[ID + 1], deciding[ID + 2], deciding[ID + 3],
+            deciding[ID + 4], deciding[ID + 5], deciding[ID + 6], deciding[KEY], contentType);
         request = new IngressRequest(method, path, query, told, bodyBytes == body.length ? body : Arrays.copyOf(body, bodyBytes),
             keepAlive(), oldVersion);
         body = NOTHING;
