Read-over: one stand-in worker for all socket tests, one 202, one way to write a watch's line

HardFleetTest played two workers of its own beside AutoWorker, and wrote the watch's lines as PushedListTest does; the 202 stood in seven files. AutoWorker now takes a door, a name and how many connections it holds, and TestNode has the answer, the watch's head and its line. All assertions stand as they were.

--- a/node/src/test/java/hookweir/net/AutoWorker.java
+++ b/node/src/test/java/hookweir/net/AutoWorker.java
@@ -3,6 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Queue;
@@ -11,22 +12,31 @@
 
 /** The worker of a {@link TestNode}, played by threads: takes every job, and ends it at once unless it is told not to. */
 final class AutoWorker {
-    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
-
     final AtomicInteger jobs = new AtomicInteger();
     final AtomicInteger bodyBytes = new AtomicInteger();
     /** Ids of the jobs in the order in which they came. */
     final Queue<String> ids = new ConcurrentLinkedQueue<>();
     private final TestNode node;
+    private final String name;
     private final boolean ends;
 
     AutoWorker(TestNode node, boolean ends) {
+        this(node, node.worker, "s-01", ends, Integer.MAX_VALUE);
+    }
+
+    /** Behind that door, by that name; it holds so many connections and ends further ones unread. */
+    AutoWorker(TestNode node, ServerSocket door, String name, boolean ends, int mostConnections) {
         this.node = node;
+        this.name = name;
         this.ends = ends;
         start(() -> {
-            while (true) {
-                Socket s = node.worker.accept();
-                start(() -> serve(s));
+            for (int held = 0; true; held++) {
+                Socket s = door.accept();
+                if (held < mostConnections) {
+                    start(() -> serve(s));
+                } else {
+                    s.close();
+                }
             }
         });
     }
@@ -59,9 +69,9 @@
                 String job = head.substring(id, head.indexOf('\r', id));
                 ids.add(job);
                 jobs.incrementAndGet();
-                s.getOutputStream().write(TAKEN.getBytes(StandardCharsets.US_ASCII));
+                s.getOutputStream().write(TestNode.TAKEN.getBytes(StandardCharsets.US_ASCII));
                 if (ends) {
-                    node.tell(job, "s-01", "done");
+                    node.tell(job, name, "done");
                 }
             } else {
                 s.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
--- a/node/src/test/java/hookweir/net/CancelStagesTest.java
+++ b/node/src/test/java/hookweir/net/CancelStagesTest.java
@@ -1,5 +1,6 @@
 package hookweir.net;
 
+import static hookweir.net.TestNode.TAKEN;
 import static hookweir.net.TestNode.hear;
 import static hookweir.net.TestNode.job;
 import static hookweir.net.TestNode.say;
@@ -15,8 +16,6 @@
  * Queued in the module: PolicyRulesTest.nothingFollowsAClosedOrWithdrawnRequest. Timed out: FailuresTest.lateJobIsGivenUp.
  */
 final class CancelStagesTest {
-    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
-
     /** Being pushed: the worker has the job and has not said 202; the client leaves; DELETE or a closed link. */
     /** A worker that stalls within a call gets no answer for it, as an answer would end its tries: it calls once more. */
     @Test
@@ -25,7 +24,7 @@
             say(client, job("c9"));
             try (Socket w = n.worker.accept()) {
                 hear(w);
-                say(w, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+                say(w, TAKEN);
                 String whole = TestNode.post("/callback", "", "{\"id\":\"c9\",\"from\":\"s-01\",\"state\":\"done\",\"result\":\"r\"}");
                 say(call, whole.substring(0, whole.length() - 9));
                 assertEquals("", hear(call));
--- a/node/src/test/java/hookweir/net/FailuresTest.java
+++ b/node/src/test/java/hookweir/net/FailuresTest.java
@@ -1,5 +1,6 @@
 package hookweir.net;
 
+import static hookweir.net.TestNode.TAKEN;
 import static hookweir.net.TestNode.hear;
 import static hookweir.net.TestNode.job;
 import static hookweir.net.TestNode.post;
@@ -24,8 +25,6 @@
 
 /** One small test for each failure found, and for the orders in which messages of a hop can come. */
 class FailuresTest {
-    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
-
     /** Classes without a key come to the bare path: it was answered 404. */
     @Test
     void barePathIsServed() throws Exception {
--- a/node/src/test/java/hookweir/net/HardFleetTest.java
+++ b/node/src/test/java/hookweir/net/HardFleetTest.java
@@ -1,7 +1,10 @@
 package hookweir.net;
 
+import static hookweir.net.TestNode.CHUNKED;
+import static hookweir.net.TestNode.TAKEN;
 import static hookweir.net.TestNode.hear;
 import static hookweir.net.TestNode.job;
+import static hookweir.net.TestNode.line;
 import static hookweir.net.TestNode.say;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -18,12 +21,9 @@
 /** Fleets that are short of something, or say what can't be: jobs go on, and nothing is forgotten by mistake. */
 @Timeout(60)
 final class HardFleetTest {
-    private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
 
-    private static void line(Socket watch, int version, boolean full, String entries) throws IOException {
-        String text = ("{'version':" + version + ",'full':" + full + ",'servers':[" + entries + "]}").replace('\'', '"') + "\n";
-        say(watch, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+    private static void change(Socket watch, int version, String entries) throws IOException {
+        line(watch, "{'version':" + version + ",'full':false,'servers':[" + entries + "]}");
     }
 
     private static void whole(Socket call, int version, String entries) throws IOException {
@@ -38,8 +38,8 @@
             try (Socket watch = n.list.accept()) {
                 assertTrue(hear(watch).startsWith("GET /v1/servers?watch=1&after=7 HTTP/1.1\r\n"));
                 say(watch, CHUNKED);
-                line(watch, 9, false, "");
-                line(watch, 4, false, n.entry("DRAINING"));
+                change(watch, 9, "");
+                change(watch, 4, n.entry("DRAINING"));
                 n.awaitCount("list updates", 3);
                 String answer = n.ask(TestNode.post("/api", "Req-Id: b1\r\nReq-Kind: render\r\nReq-Deadline-Ms: 50\r\n", "work"));
                 assertTrue(answer.startsWith("HTTP/1.1 429"), "its only worker drains, by an old version or not: " + answer);
@@ -63,26 +63,7 @@
     void aWorkerThatAcceptsTwoConnectionsServesJobsInTurnAndEndsNoneTwice() throws Exception {
         List<Socket> clients = new ArrayList<>();
         try (TestNode n = new TestNode("read_like"); Socket first = n.connect()) {
-            List<Socket> held = new ArrayList<>();
-            Thread worker = new Thread(() -> {
-                try {
-                    while (true) {
-                        Socket s = n.worker.accept();
-                        if (held.size() == 2) {
-                            s.close();
-                            continue;
-                        }
-                        held.add(s);
-                        Thread one = new Thread(() -> play(n, s, "s-01"));
-                        one.setDaemon(true);
-                        one.start();
-                    }
-                } catch (IOException e) {
-                    Thread.currentThread().interrupt(); // the test is over
-                }
-            });
-            worker.setDaemon(true);
-            worker.start();
+            new AutoWorker(n, n.worker, "s-01", true, 2);
             for (int i = 0; i < 10; i++) {
                 say(first, job("t" + i));
                 assertTrue(hear(first).startsWith("HTTP/1.1 200"), "job " + i);
@@ -110,19 +91,6 @@
         }
     }
 
-    private static void play(TestNode n, Socket s, String name) {
-        try {
-            for (String call = hear(s); !call.isEmpty(); call = hear(s)) {
-                int at = call.indexOf("Req-Id: ") + 8;
-                String id = call.substring(at, call.indexOf('\r', at));
-                say(s, TAKEN);
-                n.tell(id, name, "done");
-            }
-        } catch (IOException e) {
-            Thread.currentThread().interrupt(); // the test is over
-        }
-    }
-
     /**
      * Each machine of a zone falls silent with its links open, and resets them when it is back: a safe job goes on elsewhere
      * in time, one that must not run twice is answered once, as failed, when its fate is known.
@@ -148,27 +116,14 @@
                 say(second, job("z3"));
                 silent.add(n.worker.accept());
                 hear(silent.get(1));
-                line(watch, 8, false, n.entry("DELETED") + ","
+                change(watch, 8, n.entry("DELETED") + ","
                     + n.entry("SERVING").replace("s-01", "s-02").replaceAll(":\\d+','zone", ":" + other.getLocalPort() + "','zone"));
                 n.awaitCount("list updates", 2);
                 for (Socket s : silent) {
                     s.setSoLinger(true, 0); // back: its machine knows nothing of these links
                     s.close();
                 }
-                Thread zone = new Thread(() -> {
-                    try {
-                        while (true) {
-                            Socket s = other.accept();
-                            Thread one = new Thread(() -> play(n, s, "s-02"));
-                            one.setDaemon(true);
-                            one.start();
-                        }
-                    } catch (IOException e) {
-                        Thread.currentThread().interrupt(); // the test is over
-                    }
-                });
-                zone.setDaemon(true);
-                zone.start();
+                new AutoWorker(n, other, "s-02", true, Integer.MAX_VALUE);
                 assertTrue(hear(client).startsWith("HTTP/1.1 200"));
                 assertTrue(hear(second).startsWith("HTTP/1.1 200"));
                 assertEquals(2, n.node.invariants().counted("hops RESET"));
--- a/node/src/test/java/hookweir/net/OperatorsTest.java
+++ b/node/src/test/java/hookweir/net/OperatorsTest.java
@@ -1,5 +1,6 @@
 package hookweir.net;
 
+import static hookweir.net.TestNode.TAKEN;
 import static hookweir.net.TestNode.hear;
 import static hookweir.net.TestNode.job;
 import static hookweir.net.TestNode.say;
@@ -23,7 +24,6 @@
 /** The operators' address, and what it does to clients. */
 @Timeout(60)
 class OperatorsTest {
-    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
     private static final String HEALTHZ = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
 
     @Test
--- a/node/src/test/java/hookweir/net/PushedListTest.java
+++ b/node/src/test/java/hookweir/net/PushedListTest.java
@@ -1,24 +1,17 @@
 package hookweir.net;
 
+import static hookweir.net.TestNode.CHUNKED;
 import static hookweir.net.TestNode.hear;
+import static hookweir.net.TestNode.line;
 import static hookweir.net.TestNode.say;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
 import java.net.Socket;
 import org.junit.jupiter.api.Test;
 
 /** Lists that are pushed lie with an agent on the own machine: what it holds counts as told, though it calls nobody. */
 final class PushedListTest {
-    private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-    /** One line of the watch, as the agent sends it. */
-    private static void line(Socket agent, String json) throws IOException {
-        String text = json.replace('\'', '"') + "\n";
-        say(agent, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
-    }
-
     @Test
     void theAgentIsWatchedFromTheStartAndWhatItTellsHolds() throws Exception {
         try (TestNode n = TestNode.pushed()) {
--- a/node/src/test/java/hookweir/net/RestartTest.java
+++ b/node/src/test/java/hookweir/net/RestartTest.java
@@ -1,5 +1,6 @@
 package hookweir.net;
 
+import static hookweir.net.TestNode.TAKEN;
 import static hookweir.net.TestNode.hear;
 import static hookweir.net.TestNode.job;
 import static hookweir.net.TestNode.say;
@@ -16,8 +17,6 @@
  * it sends the job nowhere again, and a late call-back for it is taken, so that the worker stops trying.
  */
 final class RestartTest {
-    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
-
     @Test
     void aNewLifeSendsNothingOfTheOldAndTakesItsLateCallBacks() throws Exception {
         Socket client;
--- a/node/src/test/java/hookweir/net/TestNode.java
+++ b/node/src/test/java/hookweir/net/TestNode.java
@@ -17,6 +17,11 @@
 
 /** A scheduler on a free port with one worker, which is a plain server socket that the test plays by hand. */
 final class TestNode implements AutoCloseable {
+    /** A worker's answer: it has the job. */
+    static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+    /** The head of a watch's answer. */
+    static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
     final ServerSocket worker = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
     final ServerSocket list = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     final Node node;
@@ -167,6 +172,12 @@
         return ask(post("/callback", "", ("{'id':'" + id + "','from':'" + from + "','state':'" + state + "','result':'r\\u00e9s'}").replace('\'', '"')));
     }
 
+    /** One line of a watch, with ' for ", as discovery sends it. */
+    static void line(Socket watch, String json) throws IOException {
+        String text = json.replace('\'', '"') + "\n";
+        say(watch, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+    }
+
     static void say(Socket s, String message) throws IOException {
         s.getOutputStream().write(message.getBytes(StandardCharsets.ISO_8859_1));
     }
--- a/node/src/test/java/hookweir/net/UpgradeTest.java
+++ b/node/src/test/java/hookweir/net/UpgradeTest.java
@@ -1,5 +1,6 @@
 package hookweir.net;
 
+import static hookweir.net.TestNode.TAKEN;
 import static hookweir.net.TestNode.hear;
 import static hookweir.net.TestNode.job;
 import static hookweir.net.TestNode.say;
@@ -28,7 +29,6 @@
 /** Two processes of one scheduler; here they are two nodes that meet by one name, each on a port of its own. */
 @Timeout(60)
 class UpgradeTest {
-    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
     private static final String HEALTHZ = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
 
     @TempDir
