Close in two halves: what comes as a connection ends is read and dropped, not reset

Forced on sockets: a request that lay unread on a resting connection as SIGTERM came was cut off (sendAway closed over it); of a flood of 40 jobs whose sender left, further jobs were sent on, as reading stopped at 8 requests ahead and the sender's end was never seen (regulate); bytes behind a last answer met a closed socket (answered, endWithError, AdminListener); connections that never brought a request stayed to the process's end. Ruled out: Grizzly's reading after closeSilently (the key is gone). Mend: each connection has one phase that only goes on (IngressConnection.Phase); Ingress.end shuts the output, drops what comes and closes at the client's end or after 0.5 s; sendAway acts after one more round of I/O (Loop.afterRound); what is sent ahead is kept up to 16 KB and its sender cut off beyond; Door owns the listening socket.

--- a/node/src/main/java/hookweir/net/Loop.java
+++ b/node/src/main/java/hookweir/net/Loop.java
@@ -20,6 +20,7 @@
 
     private final Queue<Runnable> fromOthers = new ConcurrentLinkedQueue<>();
     private final ArrayDeque<Runnable> own = new ArrayDeque<>();
+    private final ArrayDeque<Runnable> afterRound = new ArrayDeque<>();
     private final Invariants invariants;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final long wallUs = System.currentTimeMillis() * 1000;
@@ -60,6 +61,11 @@
         return timers.set(nowUs() + Math.max(0, delayUs), task);
     }
 
+    /** Runs the task once a whole round of I/O has read what is there by now. From a task or timer of the owner thread only. */
+    public void afterRound(Runnable task) {
+        afterRound.add(task);
+    }
+
     /** Between {@link #run} and {@link #stop}. */
     boolean isRunning() {
         return running;
@@ -110,6 +116,8 @@
         if (owner == null) {
             owner = Thread.currentThread();
         }
+        own.addAll(afterRound);
+        afterRound.clear();
         // All that the last round posted is done before the next one posts more; timers and tasks take turns, as neither may
         // hold up the other: a late timer is a deadline passed unseen.
         int most = Math.max(MOST_TASKS, 2 * own.size());
@@ -120,7 +128,7 @@
                 task = timersFirst ? posted() : timers.poll(nowUs());
             }
             if (task == null) {
-                return timers.waitUs(nowUs());
+                return afterRound.isEmpty() ? timers.waitUs(nowUs()) : 0;
             }
             now(task);
         }
--- a/node/src/main/java/hookweir/net/admin/AdminListener.java
+++ b/node/src/main/java/hookweir/net/admin/AdminListener.java
@@ -1,5 +1,6 @@
 package hookweir.net.admin;
 
+import hookweir.net.HalfClose;
 import hookweir.net.Invariants;
 import hookweir.net.Loop;
 import hookweir.net.Message;
@@ -39,6 +40,8 @@
     /** Connections at most: descriptors reserved for operators. A further one ends the oldest that has no answer yet. */
     public static final int MOST_CONNECTIONS = 16;
     private static final Attribute<Framing> CALL = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("hookweir.admin");
+    /** It had its call: what follows is dropped. */
+    private static final Attribute<Boolean> HAD = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("hookweir.admin.had");
     /** Silent and half callers are sent away after this; until then they hold up nobody but each other. */
     private static final long SILENT_US = 8_000_000;
     private static final String PLAIN = "text/plain; version=0.0.4; charset=utf-8";
@@ -121,6 +124,10 @@
             Buffer in = ctx.getMessage();
             int n = in.remaining();
             byte[] bytes = transport.received(in);
+            if (Boolean.TRUE.equals(HAD.get(c))) {
+                invariants.count("admin bytes after the end");
+                return ctx.getStopAction();
+            }
             Framing framing = CALL.get(c);
             if (framing == null) {
                 framing = new Framing(false);
@@ -148,6 +155,7 @@
                 : !call.method.equals(request.method()) ? new Answer(405, "wants " + call.method + "\n")
                 : call.answer.get();
             invariants.count("admin answers " + answer.status);
+            HAD.set(c, true);
             byte[] text = answer.text.getBytes(StandardCharsets.UTF_8);
             Message head = transport.message().add(StatusLine.of(answer.status)).add("Content-Length: ").add(text.length).line()
                 .header("Content-Type", PLAIN).header("Connection", "close")
@@ -157,7 +165,9 @@
             out.write(transport.pooled(head, text), new EmptyCompletionHandler<WriteResult<Buffer, SocketAddress>>() {
                 @Override
                 public void completed(WriteResult<Buffer, SocketAddress> result) {
-                    c.closeSilently();
+                    if (HalfClose.shutOutput(c)) {
+                        loop.post(() -> loop.after(HalfClose.LINGER_US, c::closeSilently));
+                    }
                 }
 
                 @Override
--- a/node/src/main/java/hookweir/net/ingress/Ingress.java
+++ b/node/src/main/java/hookweir/net/ingress/Ingress.java
@@ -1,16 +1,15 @@
 package hookweir.net.ingress;
 
+import hookweir.net.HalfClose;
 import hookweir.net.Invariants;
-import hookweir.net.Log;
 import hookweir.net.Loop;
 import hookweir.net.Message;
 import hookweir.net.Transport;
+import hookweir.net.ingress.IngressConnection.Phase;
 import hookweir.room.Room;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
-import java.nio.channels.ServerSocketChannel;
-import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -35,7 +34,6 @@
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.NIOConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
-import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 
 /**
  * The client's side: owns the listening address and all accepted connections, those of workers' call-backs
@@ -73,13 +71,14 @@
     private static final long SWEEP_US = 200_000;
     /** Where no client rests, a crowd does not have all of them looked through for each job that it brings. */
     private static final long LOOK_AGAIN_US = 50_000;
-    /** Connections taken from the backlog between two rounds of I/O; the transport itself takes one a round. */
-    private static final int MOST_ACCEPTS = 64;
-    /** After an error that ends a connection, its client has so long to read it. */
-    private static final long LINGER_US = 500_000;
-    /** So much is still read and dropped then, lest a reset overtake the error; a sender of more is left to stall. */
+    /** So much is still read and dropped at a connection's end; a sender of more is left to stall. */
     private static final int MOST_DROPPED = 256 * 1024;
     private static final int MOST_AHEAD = 8;
+    /** Bytes behind those, on one connection and on all; whoever sends more is cut off after what was taken. */
+    private static final int MOST_KEPT = 16 * 1024;
+    private static final int MOST_KEPT_IN_ALL = 1024 * 1024;
+    /** Those that made way at the cap and still linger: their descriptors come on top, out of the process's own. */
+    private static final int MOST_LEAVING = 16;
     /** A job's body waits so long for room; good clients still have time to go elsewhere then. */
     private static final long WAIT_US = 500_000;
     /** A client that does not read its answer may be cut off after so long, while results lack room. */
@@ -109,14 +108,13 @@
     /** Those whose body waits for room, in order. */
     private final Set<IngressConnection> waiting = new LinkedHashSet<>();
     private boolean lettingIn;
-    private final TCPNIOBindingHandler binding;
-    private TCPNIOServerConnection listener;
-    /** Clients are to be let in; there is no descriptor for another. Both guarded by this. */
-    private boolean wanted = true;
-    private boolean full;
+    private final Door door;
+    /** Those that made way at the cap, and linger beside all the others. */
+    private final Set<IngressConnection> leaving = new LinkedHashSet<>();
     private boolean sendingAway;
     private int writing;
-    private long accepted;
+    /** Bytes that were read and can't be looked at yet. */
+    private int kept;
     private long noneRestsUntilUs;
     private boolean accepting;
 
@@ -127,50 +125,20 @@
         this.room = room;
         this.links = links;
         this.handler = handler;
-        binding = TCPNIOBindingHandler.builder(transport.tcp()).processor(FilterChainBuilder.stateless()
-            .add(new TransportFilter()).add(new RequestFilter()).build()).build();
+        door = new Door(TCPNIOBindingHandler.builder(transport.tcp()).processor(FilterChainBuilder.stateless()
+            .add(new TransportFilter()).add(new RequestFilter()).build()).build(), invariants);
     }
 
     /** Takes the address, or the listening socket inherited as descriptor 0; the port that it got. */
     public int listen(InetSocketAddress at, boolean inherited) throws IOException {
-        TCPNIOServerConnection bound = inherited ? inherit() : binding.bind(at);
-        synchronized (this) {
-            listener = bound;
-            turnDoor();
-        }
+        int port = door.listen(at, inherited);
         loop.post(this::sweep);
-        return ((InetSocketAddress) listener.getLocalAddress()).getPort();
+        return port;
     }
 
-    private TCPNIOServerConnection inherit() throws IOException {
-        if (System.inheritedChannel() instanceof ServerSocketChannel) {
-            return binding.bindToInherited();
-        }
-        throw new IOException("descriptor 0 is no listening socket");
-    }
-
-    /**
-     * Lets clients in, or leaves them to whoever else accepts from the same socket. It is not closed for that: the
-     * class library would put the null device in place of standard output and error with an inherited one.
-     */
-    public synchronized void accepts(boolean on) {
-        wanted = on;
-        turnDoor();
-    }
-
-    private synchronized void turnDoor() {
-        if (listener == null) {
-            return; // the binding is not yet known here
-        }
-        try {
-            if (wanted && !full) {
-                listener.enableIOEvent(IOEvent.SERVER_ACCEPT);
-            } else {
-                listener.disableIOEvent(IOEvent.SERVER_ACCEPT);
-            }
-        } catch (IOException e) {
-            Log.line("the door is stuck: " + e.getMessage());
-        }
+    /** Lets clients in, or leaves them to whoever else accepts from the same socket. */
+    public void accepts(boolean on) {
+        door.accepts(on);
     }
 
     /** Runs on the selector: reads requests, each as far as there is room for it. */
@@ -182,10 +150,13 @@
             HERE.set(c, here);
             c.addCloseListener((CloseListener<Closeable, CloseType>) (closeable, type) -> loop.post(() -> closed(here)));
             opened(here);
-            accepted++;
+            door.accepted();
             if (!accepting) {
                 accepting = true;
-                loop.post(Ingress.this::acceptMore);
+                loop.post(() -> {
+                    door.acceptMore();
+                    accepting = false;
+                });
             }
             return ctx.getInvokeAction();
         }
@@ -196,15 +167,7 @@
             Buffer in = ctx.getMessage();
             int n = in.remaining();
             byte[] bytes = transport.received(in);
-            if (here == null || here.closing && !here.deaf) {
-                return ctx.getStopAction();
-            }
-            if (here.rest != null) {
-                // What was read before reading paused comes first.
-                byte[] rest = here.rest;
-                here.rest = Arrays.copyOf(rest, rest.length + n);
-                System.arraycopy(bytes, 0, here.rest, rest.length, n);
-            } else {
+            if (here != null) {
                 loop.now(() -> read(here, bytes, 0, n));
             }
             return ctx.getStopAction();
@@ -212,11 +175,20 @@
     }
 
     private void read(IngressConnection c, byte[] bytes, int from, int to) {
+        if (c.rest != null) {
+            keepBehind(c, bytes, from, to); // what was read before comes first
+            return;
+        }
         Framing framing = c.framing;
-        for (int at = from; at < to && !c.deaf;) {
+        for (int at = from; at < to && !c.deaf();) {
+            if (stalls(c)) {
+                c.insideSinceUs = 0;
+                keepBehind(c, bytes, at, to);
+                return;
+            }
             at = framing.feed(bytes, at, to);
             if (framing.announced() > 0 && framing.fault() == 0 && !admit(c)) {
-                c.rest = Arrays.copyOfRange(bytes, at, to);
+                keep(c, Arrays.copyOfRange(bytes, at, to));
                 return;
             }
             if (framing.fault() != 0) {
@@ -231,7 +203,7 @@
                 arrived(c, request);
             }
         }
-        if (c.deaf) {
+        if (c.deaf()) {
             drop(c, to - from);
         } else if (!framing.inside()) {
             c.insideSinceUs = 0;
@@ -240,11 +212,52 @@
         }
     }
 
+    /** No further request of it is looked at until one was answered, or its pause is over. */
+    private static boolean stalls(IngressConnection c) {
+        return c.ahead.size() >= MOST_AHEAD || c.penance;
+    }
+
+    /**
+     * Puts aside what comes behind requests that wait. It is read at all, so that its sender's end is seen: of a client that
+     * left nothing more is sent on. Of a sender of too much the rest is dropped, and it hears so after its answers.
+     */
+    private void keepBehind(IngressConnection c, byte[] bytes, int from, int to) {
+        int had = c.rest == null ? 0 : c.rest.length;
+        int n = to - from;
+        if (c.waitsSinceUs == 0 && (had + n > MOST_KEPT || kept + n > MOST_KEPT_IN_ALL)) {
+            invariants.count("ingress sent too much ahead");
+            drop(c, had + n);
+            keep(c, null);
+            unreadable(c, SHED);
+            return;
+        }
+        byte[] both = had == 0 ? new byte[n] : Arrays.copyOf(c.rest, had + n);
+        System.arraycopy(bytes, from, both, had, n);
+        keep(c, both);
+    }
+
+    private void keep(IngressConnection c, byte[] rest) {
+        kept += (rest == null ? 0 : rest.length) - (c.rest == null ? 0 : c.rest.length);
+        c.rest = rest;
+    }
+
+    /** Looks at what was put aside, where nothing holds it up any more. */
+    private void readRest(IngressConnection c) {
+        if (c.rest != null && c.waitsSinceUs == 0 && !stalls(c)) {
+            byte[] rest = c.rest;
+            keep(c, null);
+            read(c, rest, 0, rest.length);
+        }
+    }
+
     /** Nothing more of this connection is looked at. */
     private void drop(IngressConnection c, int bytes) {
-        c.deaf = true;
+        c.enter(Phase.DEAF);
         count(c, -c.reserved);
         c.reserved = 0;
+        if (c.ended() && bytes > 0) {
+            invariants.count("ingress bytes after the end");
+        }
         if ((c.dropped += bytes) > MOST_DROPPED) {
             reads(c, false);
         }
@@ -294,7 +307,7 @@
             return false;
         }
         for (IngressConnection c : all) { // the longest unused first
-            if (c.carriesJobs && c.resting() && !c.closing && c.cost(now) < IngressConnection.YOUNG) {
+            if (c.carriesJobs && c.resting() && !c.closing() && c.cost(now) < IngressConnection.YOUNG) {
                 invariants.count("ingress made way for a job");
                 evict(c);
                 return true;
@@ -334,22 +347,20 @@
     private void letIn() {
         lettingIn = false;
         for (IngressConnection c : new ArrayList<>(waiting)) {
-            if (!c.closing && admit(c)) {
+            if (!c.closing() && admit(c)) {
                 goOn(c);
             }
         }
     }
 
     private void goOn(IngressConnection c) {
-        if (c.deaf) {
+        if (c.deaf()) {
             return; // it was turned away after all
         }
         waiting.remove(c);
         c.waitsSinceUs = 0;
         c.insideSinceUs = loop.nowUs(); // the time it waited was not its client's
-        byte[] rest = c.rest;
-        c.rest = null;
-        read(c, rest, 0, rest.length);
+        readRest(c);
         regulate(c);
     }
 
@@ -357,7 +368,7 @@
     private void turnAway(IngressConnection c, String kind) {
         waiting.remove(c);
         c.waitsSinceUs = 0;
-        c.rest = null;
+        keep(c, null);
         invariants.count("ingress turned away for room");
         handler.turnedAway(kind);
         drop(c, 0);
@@ -366,11 +377,11 @@
     }
 
     /**
-     * Reads on, or lets the rest wait in the kernel. Guards memory against requests sent ahead, as closing would
-     * lose the one being answered, and the loop against a client that sends the same bad thing again and again.
+     * Reads on, or lets the rest wait in the kernel. Guards memory against bodies that find no room, and the loop against a
+     * client that sends the same bad thing again and again.
      */
     private void regulate(IngressConnection c) {
-        boolean held = c.ahead.size() >= MOST_AHEAD || c.penance || c.waitsSinceUs != 0;
+        boolean held = !c.closing() && (c.penance || c.waitsSinceUs != 0);
         if (held != c.held) {
             c.held = held;
             invariants.count(held ? "ingress held back" : "ingress read on");
@@ -390,27 +401,6 @@
         }
     }
 
-    /** Guards workers' calls against waiting one round of I/O for each client that stands before them in the backlog. */
-    private void acceptMore() {
-        TCPNIOServerConnection door;
-        synchronized (this) {
-            door = wanted && !full ? listener : null;
-        }
-        for (int i = 0; i < MOST_ACCEPTS && door != null && !full; i++) {
-            long before = accepted;
-            try {
-                door.onAccept();
-            } catch (IOException e) {
-                invariants.count("ingress accept failed");
-                break;
-            }
-            if (accepted == before) {
-                break;
-            }
-        }
-        accepting = false;
-    }
-
     private void opened(IngressConnection c) {
         all.add(c);
         fit();
@@ -422,12 +412,7 @@
         for (var victim = victim(); all.size() > most && victim.isPresent(); victim = victim()) {
             evict(victim.get());
         }
-        boolean over = all.size() > most || all.size() == most && full;
-        if (over != full) {
-            invariants.count(over ? "ingress door shut" : "ingress door open again");
-            full = over;
-            turnDoor();
-        }
+        door.full(all.size() > most || all.size() == most && door.isFull());
     }
 
     /**
@@ -458,24 +443,33 @@
             victim.carriesJobs = false;
             clients--;
         }
-        victim.closing = true;
-        victim.connection.closeSilently();
+        if (victim.resting() && leaving.size() < MOST_LEAVING) {
+            leaving.add(victim);
+            end(victim);
+        } else {
+            victim.enter(Phase.CLOSED);
+            victim.connection.closeSilently();
+        }
     }
 
     private void closed(IngressConnection c) {
-        c.closing = true;
+        c.enter(Phase.CLOSED);
         all.remove(c);
         if (c.carriesJobs) {
             clients--;
         }
-        if (full) {
+        leaving.remove(c);
+        if (door.isFull()) {
             fit();
         }
         waiting.remove(c);
         c.ahead.forEach(this::release);
         c.ahead.clear();
-        c.rest = null;
+        keep(c, null);
         drop(c, 0);
+        if (c.linger != null) {
+            c.linger.cancel();
+        }
         if (c.onGone != null) {
             Runnable gone = c.onGone;
             c.onGone = null;
@@ -484,7 +478,7 @@
     }
 
     private void arrived(IngressConnection c, IngressRequest request) {
-        if (c.closing) {
+        if (c.closing()) {
             release(request);
             return;
         }
@@ -497,7 +491,6 @@
         c.proven = true;
         if (c.current != null) {
             c.ahead.add(request);
-            regulate(c);
             return;
         }
         begin(c, request);
@@ -514,23 +507,29 @@
     private void unreadable(IngressConnection c, int status) {
         invariants.count("ingress unreadable " + status);
         c.fault = status;
-        if (c.idle() && !c.closing) {
+        if (c.idle() && !c.closing()) {
             endWithError(c);
         }
     }
 
     private void endWithError(IngressConnection c) {
-        c.closing = true;
+        c.enter(Phase.LAST_WORD);
+        regulate(c);
         Message head = head(c.fault, 0, c.fault == SHED ? handler.comeBack() : null).header("Connection", "close").line();
-        write(c, transport.pooled(head, NOTHING), () -> {
-            try {
-                // A client that reads on sees the end at once, and its own end is seen here.
-                ((SocketChannel) ((NIOConnection) c.connection).getChannel()).shutdownOutput();
-            } catch (IOException e) {
-                c.connection.closeSilently();
-            }
-        });
-        loop.after(LINGER_US, c.connection::closeSilently);
+        write(c, transport.pooled(head, NOTHING), () -> end(c));
+    }
+
+    /**
+     * The one way to end a connection whose client may still write: its output is shut, and what comes is dropped until the
+     * client's end or a bound. A client that reads on sees the end at once, and its own end is seen here.
+     */
+    private void end(IngressConnection c) {
+        if (c.enter(Phase.LINGERING) && HalfClose.shutOutput(c.connection)) {
+            drop(c, 0);
+            keep(c, null);
+            regulate(c);
+            c.linger = loop.after(HalfClose.LINGER_US, c.connection::closeSilently);
+        }
     }
 
     private Message head(int status, int bodyBytes, String retryAfter) {
@@ -597,7 +596,7 @@
             return;
         }
         c.onGone = null;
-        if (c.closing) {
+        if (c.closing()) {
             return;
         }
         c.errors = status >= BAD && status != SHED && status < FAILED ? c.errors + 1 : 0;
@@ -606,14 +605,16 @@
             regulate(c);
             loop.after(PENANCE_US, () -> {
                 c.penance = false;
+                readRest(c);
                 regulate(c);
             });
         }
         // While newcomers wait at the door workers take turns: the calls that wait there end jobs too.
-        boolean ends = !request.keepAlive() || (c.carriesCallbacks ? full : sendingAway);
+        boolean ends = !request.keepAlive() || (c.carriesCallbacks ? door.isFull() : sendingAway);
         Message head = head(status, body.length, retryAfter);
         if (ends) {
-            c.closing = true;
+            c.enter(Phase.LAST_WORD);
+            regulate(c);
             head.header("Connection", "close");
         } else if (request.oldVersion()) {
             head.header("Connection", "keep-alive");
@@ -625,12 +626,11 @@
         c.current = null;
         c.lastUsedUs = loop.nowUs();
         if (ends) {
-            c.connection.closeSilently();
+            end(c);
         } else if (!c.ahead.isEmpty()) {
-            IngressRequest next = c.ahead.poll();
-            regulate(c);
-            begin(c, next);
-        } else if (c.fault != 0 && !c.closing) {
+            begin(c, c.ahead.poll());
+            readRest(c);
+        } else if (c.fault != 0 && !c.closing()) {
             endWithError(c);
         }
     }
@@ -638,7 +638,7 @@
     /** Guards against clients that say nothing, or stop in mid-request, and connections nobody uses any more. */
     private void sweep() {
         long now = loop.nowUs();
-        if (full) {
+        if (door.isFull()) {
             fit();
         }
         for (IngressConnection c : new ArrayList<>(all)) {
@@ -646,51 +646,61 @@
             boolean slow = inside != 0 ? now - inside > SLOW_US : !c.proven && now - c.openedUs > SLOW_US;
             if (c.unreadSinceUs != 0 && now - c.unreadSinceUs > UNREAD_US && room.choked()) {
                 invariants.count("ingress answer not read");
-                c.connection.closeSilently();
+                c.connection.terminateSilently();
                 continue;
             }
             if (c.waitsSinceUs != 0) {
-                if (now - c.waitsSinceUs > WAIT_US && !c.callback && !c.closing) {
+                if (now - c.waitsSinceUs > WAIT_US && !c.callback && !c.closing()) {
                     turnAway(c, c.framing.kind());
                 }
                 continue;
             }
-            if (c.closing || !c.idle()) {
+            if (c.closing() || !c.idle()) {
                 continue;
             }
             if (slow && inside != 0 && c.framing.path() != null && isCallback(c.framing.path())) {
                 // An answer, whatever it says, would end the worker's tries, and with them the job.
                 invariants.count("ingress slow call-back");
-                c.connection.closeSilently();
+                end(c);
             } else if (slow && inside != 0) {
                 invariants.count("ingress slow request");
                 c.fault = TIMED_OUT;
                 endWithError(c);
-            } else if (slow || now - c.lastUsedUs > SILENT_US || sendingAway && c.resting()) {
+            } else if (sendingAway && c.mayLeave(now)) {
+                end(c);
+            } else if (slow || now - c.lastUsedUs > SILENT_US) {
                 invariants.count("ingress silent");
-                c.connection.closeSilently();
+                end(c);
             }
         }
         loop.after(SWEEP_US, this::sweep);
     }
 
     /**
-     * While on, answers end their connections and idle ones are closed; new ones are still accepted and served. A
-     * connection whose first request is due, or on which one is coming in, is not idle: its client would lose a job.
+     * While on, answers end their connections and idle ones are ended, once what lies on them unread has been read; new ones
+     * are still accepted and served. A connection whose first request is due, or on which one is coming in, is not idle: its
+     * client would lose a job.
      */
     public void sendAway(boolean on) {
         sendingAway = on;
-        for (IngressConnection c : new ArrayList<>(all)) {
-            if (on && c.resting()) {
-                c.connection.closeSilently();
+        loop.afterRound(() -> {
+            long now = loop.nowUs();
+            for (IngressConnection c : new ArrayList<>(all)) {
+                if (sendingAway && c.mayLeave(now)) {
+                    end(c);
+                }
             }
-        }
+        });
     }
 
-    /** Nothing is being read or answered, and no connection is so young that its request may be on the way. */
+    /**
+     * Nothing is being read or answered, no connection is so young that its request may be on the way, and none lingers on
+     * which an answer may not have been read.
+     */
     public boolean quiet() {
         long youngUs = loop.nowUs() - IngressConnection.DUE_US;
-        return writing == 0 && all.stream().allMatch(c -> c.idle() && c.insideSinceUs == 0 && (c.proven || c.openedUs < youngUs));
+        return writing == 0 && leaving.isEmpty()
+            && all.stream().allMatch(c -> c.isQuiet() && (c.proven || c.openedUs < youngUs));
     }
 
     /** Open connections. */
--- a/node/src/main/java/hookweir/net/ingress/IngressConnection.java
+++ b/node/src/main/java/hookweir/net/ingress/IngressConnection.java
@@ -1,11 +1,26 @@
 package hookweir.net.ingress;
 
+import hookweir.timer.TimerWheel;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.glassfish.grizzly.Connection;
 
 /** One accepted connection. Belongs to the loop's thread. */
 public final class IngressConnection {
+    /** How far its life has come; it only ever goes on. */
+    enum Phase {
+        /** Requests are read and answered. */
+        OPEN,
+        /** Nothing that comes in is looked at any more; what was taken is still answered. */
+        DEAF,
+        /** Its last answer is being written, and nothing follows that one. */
+        LAST_WORD,
+        /** Its output is shut. What comes in is dropped, until the client's end or a bound. */
+        LINGERING,
+        /** It is gone. */
+        CLOSED
+    }
+
     /** The cost of one that is in use. */
     static final int NEEDED = 8;
     /** The cost of one whose first request may be on the way, and of one on which a request is being written. */
@@ -30,7 +45,7 @@
     boolean proven;
     boolean carriesCallbacks;
     boolean carriesJobs;
-    boolean closing;
+    private Phase phase = Phase.OPEN;
     /** Requests in a row that were no good; whether reading pauses for them; whether it pauses at all. */
     int errors;
     boolean penance;
@@ -44,15 +59,17 @@
     /** So much room is counted for the body that is coming in, and whether it is a worker's call. */
     int reserved;
     boolean callback;
-    /** Since when a body waits for room, with what was read beyond its head; 0 and null while none does. */
+    /** Since when a body waits for room; 0 while none does. */
     long waitsSinceUs;
+    /** What was read and can't be looked at yet, or null. */
     byte[] rest;
     /** Bytes written that the peer has not taken, and since when it takes none. */
     int unread;
     long unreadSinceUs;
-    /** Nothing that comes in is looked at any more. */
-    boolean deaf;
+    /** Bytes that came in and were not looked at. */
     int dropped;
+    /** The bound of a lingering close. */
+    TimerWheel.Timer linger;
 
     IngressConnection(Connection<?> connection, long openedUs) {
         this.connection = connection;
@@ -60,14 +77,40 @@
         this.lastUsedUs = openedUs;
     }
 
+    /** Goes on to a later phase; false where it is there already, or further. */
+    boolean enter(Phase next) {
+        if (next.compareTo(phase) <= 0) {
+            return false;
+        }
+        phase = next;
+        return true;
+    }
+
+    /** It can take no further answer. */
+    boolean closing() {
+        return phase.compareTo(Phase.LAST_WORD) >= 0;
+    }
+
+    /** Nothing that comes in is looked at. */
+    boolean deaf() {
+        return phase != Phase.OPEN;
+    }
+
+    /** Its output is shut, or it is gone. */
+    boolean ended() {
+        return phase.compareTo(Phase.LINGERING) >= 0;
+    }
+
     /**
      * What its end would cost, {@link #NEEDED} at most. A client whose kept connection ends opens another, so that costs
      * less than a young one: a new connection for each job is what some good clients use, and some write it for 2 s.
      */
     int cost(long now) {
         long inside = insideSinceUs;
-        if (closing) {
-            return 0; // it had its last word
+        if (ended() || closing() && unreadSinceUs != 0 && now - unreadSinceUs > RECENT_US) {
+            return 0; // it had its last word, or does not take it
+        } else if (closing()) {
+            return NEEDED;
         } else if (!idle()) {
             return NEEDED;
         } else if (waitsSinceUs != 0) {
@@ -85,7 +128,17 @@
 
     /** A client's kept connection between requests: it may be closed and nothing is lost. */
     boolean resting() {
-        return idle() && proven && insideSinceUs == 0 && !carriesCallbacks;
+        return isQuiet() && proven && !carriesCallbacks;
+    }
+
+    /** It may be ended now for the scheduler's own sake: it rests, or its first request is overdue. */
+    boolean mayLeave(long now) {
+        return resting() || isQuiet() && !proven && now - openedUs > DUE_US;
+    }
+
+    /** Nothing comes in on it, or waits, or is answered, and its end is not yet under way. */
+    boolean isQuiet() {
+        return idle() && insideSinceUs == 0 && rest == null && !deaf();
     }
 
     /** It waits for a request. */
