Keep second answers, late connections and moved addresses from spoiling the next job

Seen, by tests that force it (LinksTest, PolicyRulesTest; each red on the code before): a worker's second answer, some ms late, was taken for that of the next job on the link; a check's second answer, a 200, ended a job as an error; a hop was begun on a connection that came up after its client had left; a call cut off in the middle of its write was still written to its last byte, which begins an attempt; links to an address that a worker left counted as open for ever; dials that were given up kept their descriptors for minutes; a call-back in the round of I/O in which the job's time ran out had the module fail a served job (hopOver posted what the module should know at once); a keyed repeat went out on a connection that came up beyond the key's window. Ruled out: waiting for all to settle at a busy worker, where no link would ever be dialled: each link that settles is waited for by one call (Egress.link), the next one dials. Mend: a link rests 30 ms after a job's answer before it carries another job or check; a 2xx other than 202 is passed over under a job; a link whose call is not yet written whole is aborted; idle links end with the address they lead to; what may leave late counts towards the window (Contract.Settings.connectWithinUs, Policy.maySend).

--- a/core/src/main/java/hookweir/Contract.java
+++ b/core/src/main/java/hookweir/Contract.java
@@ -136,6 +136,8 @@
         public long answerSlackUs;
         /** The host handles events at most this often. */
         public long tickUs = 1_000;
+        /** What {@link Host#send} sends leaves within this, or never: it may have to wait for a connection to come up. */
+        public long connectWithinUs;
         /** The most attempts a request can have. */
         public int maxAttempts = 1;
         /** Two attempts of one request may be out at once. */
--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -174,7 +174,7 @@
     @Override public void fleetFailed(long now) {
         watching = false;
         watchFailures = Math.min(watchFailures + 1, 10);
-        double pause = Math.min(Math.max(set.askWithinUs / 2.0, 1e6), 250_000.0 * (1 << watchFailures));
+        double pause = Math.min(Math.max(set.askWithinUs / 2.0, 1e6), 125_000.0 * (1 << watchFailures));
         host.timer(WATCH, (long) (pause * (0.5 + uniform())));
     }
 
@@ -327,7 +327,7 @@
 
     /** Rule 2, in one place: may this request go out once more? */
     private boolean maySend(Job j, long now) {
-        boolean closing = now >= j.firstRunUs + j.in.windowUs * 15 / 16;
+        boolean closing = now + set.connectWithinUs >= j.firstRunUs + j.in.windowUs * 15 / 16;
         return j.attempts < Math.min(set.maxAttempts, j.back.length) && now < j.r.giveUpAtUs - set.tickUs
             && (j.out == 0 || set.secondCopies)
             && (j.firstRun == null || j.in.effect == Effect.SAFE || j.in.effect == Effect.KEYED && !closing);
--- a/core/src/test/java/hookweir/PolicyRulesTest.java
+++ b/core/src/test/java/hookweir/PolicyRulesTest.java
@@ -36,6 +36,22 @@
         assertEquals(0, h.count("refuse"));
     }
 
+    /** A connection that takes its time brought a repeat beyond its window. */
+    @Test
+    void aKeyedRepeatWhoseConnectionMayComeUpBeyondItsWindowIsNotSent() {
+        Contract.Settings s = settings(Effect.KEYED);
+        s.connectWithinUs = 500_000;
+        for (long late = 1_300_000; late <= 1_900_000; late += 100_000) {
+            RecordingHost h = RecordingHost.with(s, 11);
+            h.fleet(worker(1), worker(2), worker(3));
+            h.take(1, s);
+            h.pass(late);
+            h.ends(1, 0, h.sentTo.get(0), Outcome.RESET, false);
+            boolean again = late + s.connectWithinUs < 15 * s.classes.get(0).windowUs / 16;
+            assertEquals(again ? 2 : 1, h.count("send"), "after " + late + " us");
+        }
+    }
+
     @Test
     void aKeyedRequestThatMayHaveRunStaysInItsCellAndWindow() {
         Contract.Settings s = settings(Effect.KEYED);
--- a/node/src/main/java/hookweir/config/SettingsMapping.java
+++ b/node/src/main/java/hookweir/config/SettingsMapping.java
@@ -105,6 +105,7 @@
         zones = names("zones");
         kinds = names("kinds");
         dialTimeoutUs = whole("limits.dial_timeout_us", 250_000);
+        s.connectWithinUs = 2 * dialTimeoutUs; // the wait for a descriptor, and the dial
         connIdleUs = whole("limits.conn_idle_us", 15_000_000);
     }
 
--- a/node/src/main/java/hookweir/net/Hop.java
+++ b/node/src/main/java/hookweir/net/Hop.java
@@ -16,6 +16,7 @@
 
     private static final long NEAR_END_US = 1_000;
     private static final int TAKEN = 202;
+    private static final int REDIRECTED = 300;
     /** Kept links that break cost a repeatable job a further hop, and the others all. */
     private static final double SOME_BREAKS = 0.2;
     private static final double FEW_BREAKS = 0.02;
@@ -88,6 +89,12 @@
             over(Outcome.CONNECT_FAILED, null, null);
             return;
         }
+        if (exchange.closed) {
+            // Its client left while the connection came up: where attempts can't be called off, none is begun any more.
+            egress.release(target, up, true);
+            over(Outcome.MOOT, null, null);
+            return;
+        }
         stage = Stage.SENDING;
         var from = exchange.from;
         var h = from.headers();
@@ -119,6 +126,14 @@
     public void piece(Link l, Link.Piece piece) {
         int status = piece.status();
         boolean waiting = stage == Stage.SENDING || stage == Stage.SENT;
+        if (status < REDIRECTED && status != TAKEN) {
+            // No answer to a job: a second one to the check that this link carried before. The job's own is yet to come.
+            egress.strayed();
+            if (piece.last()) {
+                l.goesOn();
+            }
+            return;
+        }
         if (waiting && status == TAKEN) {
             // The head tells it: what may be missing of the body must not make a reset of a job that was taken.
             stage = Stage.TAKEN;
@@ -128,7 +143,7 @@
             return;
         }
         egress.used(l, false);
-        egress.release(target, l, piece.keepAlive());
+        egress.settles(target, l, piece.keepAlive());
         letGo();
         if (!waiting || stage == Stage.TAKEN) {
             return;
@@ -193,7 +208,7 @@
                 over(outcome, null, null);
             }
             case SENDING, SENT -> {
-                egress.end(link);
+                egress.cut(link);
                 letGo();
                 over(outcome, null, null);
             }
--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -42,8 +42,6 @@
     private static final int OWN_DESCRIPTORS = 48;
     private static final int PROBE_DIAL_LIMITS = 2;
     private static final int TAKE_DIAL_LIMITS = 6;
-    /** No share of breaks is low enough: a link of its own. */
-    private static final double NO_KEPT = -1;
     private static final long LOG_EVERY_US = 10_000_000;
     private static final long PUBLISH_EVERY_US = 200_000;
     private static final int MOST_TAKEN = 4096;
@@ -444,13 +442,18 @@
     void hopOver(Hop hop, Outcome outcome, long elapsedUs, Report report, byte[] result) {
         Exchange x = hop.exchange;
         invariants.count("hops " + outcome);
+        Runnable tell = () -> {
+            module.outcome(loop.nowUs(), x.request.id, hop.number, hop.workerId, outcome, elapsedUs, x.closed, report);
+            settle(x);
+        };
         if (outcome == Outcome.OK) {
+            // Only a call-back ends a hop so, and no call-back comes inside a call of the module: it hears at once, or it could
+            // decide on a job that was served a moment ago.
             close(x, 200, null, result);
+            tell.run();
+        } else {
+            loop.post(tell);
         }
-        loop.post(() -> {
-            module.outcome(loop.nowUs(), x.request.id, hop.number, hop.workerId, outcome, elapsedUs, x.closed, report);
-            settle(x);
-        });
     }
 
     /** A hop's last byte is written. */
@@ -480,7 +483,7 @@
 
     /** Tells a worker that a hop that it took is given up; runs the task once that is on its way, or can't be. */
     void delete(Hop hop, Runnable after) {
-        new Errand(hop.target, "DELETE", "/jobs/" + hop.exchange.from.headers().id()) {
+        new Errand(hop.target, "DELETE", "/jobs/" + hop.exchange.from.headers().id(), Egress.ANY) {
             @Override
             void onWritten() {
                 after.run();
@@ -497,6 +500,7 @@
     private abstract class Errand implements Link.Handler {
         final long startUs = loop.nowUs();
         private final EgressTarget target;
+        private final double links;
         private final String method;
         private final String path;
         private final java.io.ByteArrayOutputStream body = new java.io.ByteArrayOutputStream();
@@ -504,7 +508,8 @@
         private TimerWheel.Timer patience;
         private boolean over;
 
-        Errand(EgressTarget target, String method, String path) {
+        Errand(EgressTarget target, String method, String path, double links) {
+            this.links = links;
             this.target = target;
             this.method = method;
             this.path = path;
@@ -517,7 +522,7 @@
 
         void start() {
             limit = loop.after(probeLimitUs, () -> end(Outcome.TIMEOUT, null));
-            dial(1);
+            dial(links);
         }
 
         private void dial(double mostBreaks) {
@@ -584,7 +589,7 @@
                 // A kept link may have been closed unseen, which says nothing of the worker; an errand may be repeated.
                 invariants.count("errands once more");
                 written = false;
-                dial(NO_KEPT);
+                dial(Egress.NONE);
                 return;
             }
             done = true;
@@ -649,7 +654,7 @@
             return;
         }
         invariants.count("probes");
-        new Errand(target, "GET", settings.reports == Contract.ReportsBy.NEVER ? "/healthz" : "/load") {
+        new Errand(target, "GET", settings.reports == Contract.ReportsBy.NEVER ? "/healthz" : "/load", Egress.SETTLED) {
             @Override
             void onEnd(Outcome outcome, Link.Piece last, byte[] whole) {
                 Report report = last == null ? null : last.load() != null ? loadReport.ofPairs(last.load()) : loadReport.ofBody(whole);
--- a/node/src/main/java/hookweir/net/egress/Egress.java
+++ b/node/src/main/java/hookweir/net/egress/Egress.java
@@ -9,6 +9,7 @@
 import hookweir.timer.TimerWheel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -19,11 +20,21 @@
 
 /** The workers' side: owns the egress targets and the links to them, at most so many. Belongs to the loop. */
 public final class Egress {
+    /** No kept link. */
+    public static final double NONE = -1;
+    /** Any kept link whose last call is surely over: a break does no harm. */
+    public static final double SETTLED = 1;
+    /** Any kept link: another call's answer does no harm either. */
+    public static final double ANY = 2;
     private static final long SWEEP_US = 500_000;
     private static final double IDLE_SHARE = 0.9;
     private static final long IDLE_MARGIN_US = 1_000_000;
     private static final int MOST_IDLE = 8;
     private static final double BREAKS_GAIN = 0.1;
+    /** A worker's second answer to a job comes within this of its first, if it comes. */
+    private static final long SETTLE_US = 30_000;
+    /** Links that were ended and linger: their descriptors come out of the process's own. */
+    private static final int MOST_LINGERING = 16;
 
     private final Loop loop;
     private final Dialer dialer;
@@ -39,6 +50,7 @@
     private final Set<Link> open = new HashSet<>();
     /** A running mean: the share of kept links that broke under their next call. */
     private double keptBreaks;
+    private int lingering;
 
     /** A call that waits for a link. */
     private static final class Waiter {
@@ -85,7 +97,11 @@
         if (state == Contract.State.GONE) {
             forget(id);
         } else {
-            targets.computeIfAbsent(id, k -> new EgressTarget(name, id)).update(address, state);
+            EgressTarget t = targets.computeIfAbsent(id, k -> new EgressTarget(name, id));
+            if (!address.equals(t.address())) {
+                endIdle(t); // they lead elsewhere
+            }
+            t.update(address, state);
         }
     }
 
@@ -101,24 +117,38 @@
     private void forget(int id) {
         EgressTarget t = targets.remove(id);
         if (t != null) {
-            for (Link link : t.idle) {
-                open.remove(link);
-            }
+            endIdle(t);
             t.update(t.address(), Contract.State.GONE);
         }
     }
 
+    private void endIdle(EgressTarget t) {
+        for (Link link = t.idle.poll(); link != null; link = t.idle.poll()) {
+            end(link);
+        }
+    }
+
     /**
      * Gets a link to the target: the newest idle one at once, else by a dial.
      *
      * @param mostBreaks the share of kept links that may break under their next call for one to be used all the
-     *     same; 1 where a break does no harm
-     * @return the link that is dialled or ready; null where it has to wait for one that others use, and is told when it
-     *     gets it, or that it gets none in the time that a dial may take
+     *     same; or {@link #NONE}, {@link #SETTLED}, {@link #ANY}
+     * @return the link that is dialled or ready; null where it has to wait for one that others use, or that is yet to settle,
+     *     and is told when it gets it, or that it gets none in the time that a dial may take
      */
     public Link link(EgressTarget target, Link.Handler handler, double mostBreaks) {
-        while (!target.idle.isEmpty() && keptBreaks <= mostBreaks) {
-            Link link = target.idle.pollFirst();
+        long now = loop.nowUs();
+        Link settling = null;
+        for (Iterator<Link> it = target.idle.iterator(); it.hasNext() && keptBreaks <= mostBreaks;) {
+            Link link = it.next();
+            if (link.reserved) {
+                continue;
+            }
+            if (mostBreaks < ANY && link.settledUs > now && link.isFree()) {
+                settling = settling == null || link.settledUs < settling.settledUs ? link : settling;
+                continue;
+            }
+            it.remove();
             if (link.isFree()) {
                 link.kept = true;
                 link.rest(handler);
@@ -127,6 +157,16 @@
             }
             end(link);
         }
+        if (settling != null) {
+            // At no cost to the worker, unlike a dial. Each waits for one of its own: who finds none dials.
+            Link own = settling;
+            own.reserved = true;
+            loop.after(own.settledUs - now, () -> {
+                own.reserved = false;
+                link(target, handler, mostBreaks);
+            });
+            return null;
+        }
         if (!room.mayDial(open.size(), accepted.getAsInt()) && !evict()) {
             invariants.count("egress waits for a link");
             Waiter w = new Waiter(target, handler, mostBreaks);
@@ -150,10 +190,9 @@
      */
     private void pump() {
         pumping = false;
-        for (Iterator<Waiter> it = waiting.iterator(); it.hasNext();) {
-            Waiter w = it.next();
+        for (Waiter w : new ArrayList<>(waiting)) { // who is put back meanwhile, as its link died unseen, waits for another turn
             if (!w.target.idle.isEmpty()) {
-                it.remove();
+                waiting.remove(w);
                 w.limit.cancel();
                 link(w.target, w.handler, w.mostBreaks);
             }
@@ -233,8 +272,31 @@
         }
     }
 
-    /** Closes a link, or forgets one that is down. */
+    /** Takes a link back after a job's answer: it carries no other until a second answer would have come. */
+    public void settles(EgressTarget target, Link link, boolean keepAlive) {
+        link.settledUs = loop.nowUs() + SETTLE_US;
+        release(target, link, keepAlive);
+    }
+
+    /** An answer came that was none to the call. */
+    public void strayed() {
+        invariants.count("egress answers of no call");
+    }
+
+    /** Ends a link, or forgets one that is down. */
     public void end(Link link) {
+        if (lingering < MOST_LINGERING) {
+            lingering++;
+            link.end(() -> lingering--);
+        } else {
+            link.close();
+        }
+        open.remove(link);
+        freed();
+    }
+
+    /** Closes a link under its call, which is given up by that. */
+    public void cut(Link link) {
         link.close();
         open.remove(link);
         freed();
--- a/node/src/main/java/hookweir/net/egress/EgressTarget.java
+++ b/node/src/main/java/hookweir/net/egress/EgressTarget.java
@@ -38,18 +38,10 @@
     }
 
     void update(InetSocketAddress newAddress, Contract.State newState) {
-        if (!newAddress.equals(address) || newState == Contract.State.GONE) {
-            dropIdle();
+        if (!newAddress.equals(address)) {
             host = Link.host(newAddress);
         }
         address = newAddress;
         state = newState;
     }
-
-    int dropIdle() {
-        int n = idle.size();
-        idle.forEach(Link::close);
-        idle.clear();
-        return n;
-    }
 }
--- /dev/null
+++ b/node/src/test/java/hookweir/net/LinksTest.java
@@ -0,0 +1,277 @@
+package hookweir.net;
+
+import static hookweir.net.TestNode.CHUNKED;
+import static hookweir.net.TestNode.TAKEN;
+import static hookweir.net.TestNode.hear;
+import static hookweir.net.TestNode.job;
+import static hookweir.net.TestNode.line;
+import static hookweir.net.TestNode.say;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.sun.management.UnixOperatingSystemMXBean;
+import hookweir.Contract;
+import hookweir.net.egress.Egress;
+import hookweir.room.Room;
+import java.io.InputStream;
+import java.lang.management.ManagementFactory;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.LongSupplier;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What workers do to connections at the wrong moment: late ones, second answers, answers across a decision, moved addresses. */
+@Timeout(30)
+final class LinksTest {
+    private static final InetAddress HERE = InetAddress.getLoopbackAddress();
+
+    /** Fills the backlog of a door that nobody opens: whoever dials it hears nothing. */
+    private static List<Socket> fill(ServerSocket door) throws Exception {
+        List<Socket> crowd = new ArrayList<>();
+        try {
+            while (true) {
+                Socket s = new Socket();
+                crowd.add(s);
+                s.connect(new InetSocketAddress(HERE, door.getLocalPort()), 200);
+            }
+        } catch (java.net.SocketTimeoutException full) {
+            return crowd;
+        }
+    }
+
+    /** A second answer that comes some milliseconds late was taken for that of the next job on the link. */
+    @Test
+    void aLinkCarriesNoJobUntilASecondAnswerWouldHaveCome() throws Exception {
+        try (TestNode n = new TestNode("non_idempotent"); Socket client = n.connect()) {
+            n.freeze();
+            say(client, job("s1"));
+            try (Socket first = n.worker.accept()) {
+                hear(first);
+                say(first, TAKEN);
+                n.tell("s1", "s-01", "done");
+                assertTrue(hear(client).startsWith("HTTP/1.1 200"));
+                say(client, job("s2"));
+                n.awaitCount("exchanges", 2);
+                say(first, "HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n");
+                assertEquals("", hear(first), "no job on it, and its end, as the next answer could not be told from this one");
+                n.goOn(40_000);
+                try (Socket second = n.worker.accept()) {
+                    assertTrue(hear(second).contains("Req-Id: s2\r\n"));
+                    say(second, TAKEN);
+                    n.tell("s2", "s-01", "done");
+                    assertTrue(hear(client).startsWith("HTTP/1.1 200"));
+                    say(client, job("s3"));
+                    assertTrue(hear(second).contains("Req-Id: s3\r\n"), "a settled link is used again");
+                    assertEquals(2, n.node.invariants().counted("egress dials"));
+                }
+            }
+        }
+    }
+
+    /** A check's second answer, a 200, comes under a job: that is no answer to a job, and its own is waited for. */
+    @Test
+    void anAnswerThatNoJobCanHaveIsPassedOver() throws Exception {
+        try (TestNode n = new TestNode("non_idempotent"); Socket client = n.connect()) {
+            say(client, job("p1"));
+            try (Socket w = n.worker.accept()) {
+                hear(w);
+                say(w, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nx0=1");
+                n.awaitCount("egress answers of no call", 1);
+                say(w, TAKEN);
+                n.tell("p1", "s-01", "done");
+                assertTrue(hear(client).startsWith("HTTP/1.1 200"));
+            }
+        }
+    }
+
+    /** The job is done in the round of I/O in which its time runs out: the answer stands, and the module knows of it. */
+    @Test
+    void anAnswerThatComesAsTheTimeRunsOutStands() throws Exception {
+        try (TestNode n = TestNode.frozen("non_idempotent"); Socket client = n.connect()) {
+            n.goOn(10_000); // past the module's first timers, and before the next
+            n.freeze();
+            say(client, job("x1").replace("20000", "100"));
+            try (Socket w = n.worker.accept()) {
+                hear(w);
+                say(w, TAKEN);
+                Invariants seen = n.node.invariants();
+                LongSupplier before = n.ahead;
+                n.ahead = () -> before.getAsLong() + (seen.counted("hops OK") > 0 ? 99_000_000L : 0);
+                n.tell("x1", "s-01", "done");
+                assertTrue(hear(client).startsWith("HTTP/1.1 200"));
+                assertTrue(n.ask("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").startsWith("HTTP/1.1 200"), "the loop goes on");
+                assertEquals(0, seen.counted("BROKEN failure of a closed exchange"));
+            }
+        }
+    }
+
+    /** The connection comes up after the client left; attempts can't be called off there, so none is begun. */
+    @Test
+    void nothingIsSentForAClientThatLeftWhileTheConnectionCameUp() throws Exception {
+        try (TestNode n = TestNode.withoutCancels()) {
+            List<Socket> crowd = fill(n.worker);
+            Socket client = n.connect(); // closed by hand: its leaving is the test
+            say(client, job("g1"));
+            n.awaitCount("egress dials", 1);
+            client.close();
+            n.awaitCount("clients gone", 1);
+            for (Socket s : crowd) {
+                s.close();
+            }
+            for (int i = 1; i < crowd.size(); i++) {
+                n.worker.accept().close();
+            }
+            try (Socket late = n.worker.accept(); Socket next = n.connect()) {
+                n.awaitCount("hops MOOT", 1);
+                say(next, job("g2"));
+                assertTrue(hear(late).contains("Req-Id: g2\r\n"), "the first that it carries");
+            }
+        }
+    }
+
+    /** A worker that moved left its kept links counted as open: with each move there was room for one less. */
+    @Test
+    void linksToAnAddressThatAWorkerLeftAreGivenBack() throws Exception {
+        try (ServerSocket other = new ServerSocket(0, 50, HERE);
+                TestNode n = new TestNode("read_like", 20_000_000, "'sockets':96"); Socket watch = n.list.accept(); Socket client = n.connect()) {
+            hear(watch);
+            say(watch, CHUNKED);
+            new AutoWorker(n, true);
+            new AutoWorker(n, other, "s-01", true, Integer.MAX_VALUE);
+            String there = n.entry("SERVING").replaceAll(":\\d+','zone", ":" + other.getLocalPort() + "','zone");
+            for (int i = 0; i < 100; i++) {
+                say(client, job("m" + i));
+                assertTrue(hear(client).startsWith("HTTP/1.1 200"));
+                line(watch, "{'version':" + (8 + i) + ",'full':false,'servers':[" + (i % 2 == 0 ? there : n.entry("SERVING")) + "]}");
+                n.awaitCount("list updates", 2 + i);
+            }
+            assertEquals(0, n.node.invariants().counted("egress waits for a link"));
+        }
+    }
+
+    /** Loop, transport and dialer by themselves. */
+    private static final class Bare implements AutoCloseable {
+        /** How the clock goes. */
+        volatile LongSupplier clock = System::nanoTime;
+        final Loop loop = new Loop(new Invariants(), () -> clock.getAsLong());
+        final Transport transport = new Transport(new Invariants(), loop);
+        final Dialer dialer = new Dialer(loop, transport);
+
+        Bare() throws Exception {
+            transport.start();
+            new Thread(loop::run).start();
+        }
+
+        @Override
+        public void close() throws Exception {
+            loop.post(loop::stop);
+            transport.stop();
+        }
+    }
+
+    private static class Silent implements Link.Handler {
+        @Override
+        public void piece(Link link, Link.Piece piece) {
+        }
+
+        @Override
+        public void down(Link link) {
+        }
+    }
+
+    /** Each link that settles is waited for by one call: where all waited, a busy worker's jobs did so for ever. */
+    @Test
+    void oneCallWaitsForALinkThatSettlesAndTheNextDials() throws Exception {
+        try (Bare bare = new Bare(); ServerSocket door = new ServerSocket(0, 5, HERE)) {
+            Room room = new Room(1 << 20, 100);
+            room.descriptors(100);
+            Egress egress = new Egress(bare.loop, bare.dialer, new Invariants(), 20_000_000, 20_000_000, room, () -> 0);
+            BlockingQueue<Link> up = new LinkedBlockingQueue<>();
+            Link.Handler taken = new Silent() {
+                @Override
+                public void up(Link link) {
+                    up.add(link);
+                }
+            };
+            bare.loop.post(() -> {
+                egress.told(1, "s-01", new InetSocketAddress(HERE, door.getLocalPort()), Contract.State.READY);
+                egress.link(egress.target(1), taken, Egress.SETTLED);
+            });
+            Link first = up.take();
+            long now = System.nanoTime();
+            bare.clock = () -> now;
+            bare.loop.post(() -> {
+                egress.settles(egress.target(1), first, true);
+                egress.link(egress.target(1), taken, Egress.SETTLED);
+                egress.link(egress.target(1), taken, Egress.SETTLED);
+            });
+            assertNotSame(first, up.take(), "the second, while the first waits");
+            bare.clock = System::nanoTime;
+            bare.loop.post(() -> { });
+            assertSame(first, up.take());
+        }
+    }
+
+    /** Dials to a machine that vanished kept their descriptors for minutes, beside all that is counted. */
+    @Test
+    void aDialThatIsCalledOffGivesItsDescriptorBack() throws Exception {
+        var system = (UnixOperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
+        try (Bare bare = new Bare(); ServerSocket door = new ServerSocket(0, 1, HERE)) {
+            List<Socket> crowd = fill(door);
+            long before = system.getOpenFileDescriptorCount();
+            var address = new InetSocketAddress(HERE, door.getLocalPort());
+            List<Link> dials = new ArrayList<>();
+            bare.loop.post(() -> {
+                for (int i = 0; i < 50; i++) {
+                    dials.add(bare.dialer.dial(address, 60_000_000, new Silent()));
+                }
+            });
+            while (system.getOpenFileDescriptorCount() < before + 50) {
+                Thread.onSpinWait();
+            }
+            bare.loop.post(() -> dials.forEach(Link::close));
+            while (system.getOpenFileDescriptorCount() > before + 10) {
+                Thread.onSpinWait();
+            }
+            for (Socket s : crowd) {
+                s.close();
+            }
+        }
+    }
+
+    /** A call that is cut off before it was written whole never gets whole: its last byte would begin an attempt. */
+    @Test
+    void aCallThatIsCutOffNeverGetsWhole() throws Exception {
+        byte[] body = new byte[64 * 1024 * 1024];
+        try (Bare bare = new Bare(); ServerSocket door = new ServerSocket(0, 1, HERE)) {
+            bare.loop.post(() -> bare.dialer.dial(new InetSocketAddress(HERE, door.getLocalPort()), 5_000_000, new Silent() {
+                @Override
+                public void up(Link link) {
+                    link.call(link.head("POST", "/api", null, "h"), body, this);
+                    bare.loop.post(link::close);
+                }
+            }));
+            try (Socket w = door.accept()) {
+                InputStream in = w.getInputStream();
+                long came = 0;
+                try {
+                    for (int b = in.read(body); b >= 0; b = in.read(body)) {
+                        came += b;
+                    }
+                } catch (java.net.SocketException reset) {
+                    assertTrue(came < body.length);
+                }
+                assertTrue(came < body.length, "the whole call came: " + came);
+            }
+        }
+    }
+}
