Shut the door at a start in order, ask silent agents at once, answer what was sent ahead

Turned on the loop alone now. - A pushed list counts as told from a process's first moment, but jobs went by the list as last held until the agent answered: the door opens with the agent's list now, at the latest after 0.5 s (SocketHost.listen, start). - What an agent hears when discovery is back counts as told at once, but a silent one was asked again only after 1.5 s and a pause of up to 1.5 s: 100 ms and up to 75 ms now (Discovery, Policy.fleetFailed). - A request sent ahead of an answer was taken, and lost where that answer ended its connection (Ingress.answer). - Behind 256 KB of bytes that nobody looks at reading stopped for good, and the client's end was never seen: its job was sent on. Reading rests 100 ms at a time now (Ingress.drop). - The process left over connections of clients that had said nothing yet (Ingress.quiet). - A job that nobody took in time was given up by closing alone; a 202 on its way makes that no end of it, and the next attempt a second copy. What lies unread is read first, then the worker is told (Hop.notTaken). - SIGHUP before the configuration was read ended the process (HangUp). Ruled out: half requests at SIGTERM hold the process no longer than 2.5 s. Tests of pushed lists answer the agent's first call, which was not made before.

--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -29,6 +29,7 @@
     private static final double FLOOR_ALPHA = 0.02; // least top rate a second, for quiet dispatchers
     private static final double GAIN = 0.05; // of a sample in running means: some see one request a second
     private static final double STALE_GAIN = 0.3; // step to a longer report period: one odd one can't set it
+    private static final double AGENT_GAP_US = 50_000; // what an agent hears when it is back counts at once
     private static final double RECHECK = 0.15; // mean jobs until a held job looks again: so slots free up
     private static final long LEAST_GAP_US = 20_000; // between looks at a worker, however many jobs come
     private static final double ABROAD = 0.1; // room abroad counts so much where crossing costs anything
@@ -144,9 +145,7 @@
 
     /** Draining ones, and those set aside for failures. */
     @Override public int avoided(long now) {
-        int n = 0;
-        for (W w : workers) n += w.ready && now >= w.asideUntilUs ? 0 : 1;
-        return n;
+        return (int) workers.stream().filter(w -> !w.ready || now < w.asideUntilUs).count();
     }
 
     private W added(Contract.Worker e, long now) {
@@ -174,8 +173,8 @@
     @Override public void fleetFailed(long now) {
         watching = false;
         watchFailures = Math.min(watchFailures + 1, 10);
-        double pause = Math.min(Math.max(set.askWithinUs / 2.0, 1e6), 125_000.0 * (1 << watchFailures));
-        host.timer(WATCH, (long) (pause * (0.5 + uniform())));
+        double most = set.askForList ? Math.max(set.askWithinUs / 2.0, 1e6) : AGENT_GAP_US;
+        host.timer(WATCH, (long) (Math.min(most, 125_000.0 * (1 << watchFailures)) * (0.5 + uniform())));
     }
 
     // ---- requests ----
--- a/node/src/main/java/hookweir/Main.java
+++ b/node/src/main/java/hookweir/Main.java
@@ -86,6 +86,7 @@
 
         @Override
         int run() throws IOException, InterruptedException {
+            Node.expectReloads();
             Config config;
             try {
                 config = ConfigReader.fromEnvironment(System.getenv());
--- a/node/src/main/java/hookweir/net/HangUp.java
+++ b/node/src/main/java/hookweir/net/HangUp.java
@@ -3,21 +3,26 @@
 import java.lang.reflect.Proxy;
 
 /**
- * SIGHUP. A JVM without a handler ends on it. The class library has no public interface for signals; the
- * unsupported one is called by reflection, as its name alone is a compiler warning.
+ * SIGHUP. A JVM without a handler ends on it, so there is one before the configuration is read; what comes until somebody
+ * heeds it is kept. The class library has no public interface for signals; the unsupported one is called by reflection, as
+ * its name alone is a compiler warning.
  */
 final class HangUp {
+    /** Both guarded by this class. */
+    private static Runnable task;
+    private static boolean came;
+
     private HangUp() {
     }
 
-    /** From now on each SIGHUP runs the task, on a thread of its own. */
-    static void handle(Runnable task) {
+    /** From now on the process lives through it. */
+    static void expect() {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
             Object made = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, (self, method, args) -> {
                 if (method.getName().equals("handle")) {
-                    task.run();
+                    comes();
                 }
                 return null;
             });
@@ -26,4 +31,21 @@
             Log.line("SIGHUP can't be handled: " + e);
         }
     }
+
+    /** From now on each one, and one that came before, runs the task, on a thread of its own. */
+    static synchronized void heed(Runnable newTask) {
+        task = newTask;
+        if (came) {
+            came = false;
+            new Thread(task, "hang-up").start();
+        }
+    }
+
+    private static synchronized void comes() {
+        if (task == null) {
+            came = true;
+        } else {
+            task.run();
+        }
+    }
 }
--- a/node/src/main/java/hookweir/net/Hop.java
+++ b/node/src/main/java/hookweir/net/Hop.java
@@ -113,15 +113,34 @@
             stage = Stage.SENT;
             if (host.repeatable(exchange)) {
                 // Guards against a machine that vanished or a process that hangs, while another can still do the job.
-                wait(host.takeLimitUs(), () -> {
-                    if (stage == Stage.SENT) {
-                        giveUp(Outcome.TIMEOUT);
-                    }
-                });
+                wait(host.takeLimitUs(), () -> host.loop().afterRound(this::notTaken)); // a 202 that lies unread counts
             }
         }
     }
 
+    /** A 202 may be on its way, and then closing the connection gives nothing up: the worker is told before another hop begins. */
+    private void notTaken() {
+        if (stage == Stage.SENT) {
+            egress.cut(link);
+            letGo();
+            if (host.cancels()) {
+                tellWorker(Outcome.TIMEOUT);
+            } else {
+                over(Outcome.TIMEOUT, null, null);
+            }
+        }
+    }
+
+    private void tellWorker(Outcome outcome) {
+        stage = Stage.GIVING_UP;
+        boolean lastWord = exchange.closed || host.loop().nowUs() >= exchange.request.giveUpAtUs - NEAR_END_US;
+        host.delete(this, () -> over(outcome, null, null));
+        if (lastWord) {
+            // Nothing more can be sent for it, so nobody need wait for the notice to be written.
+            over(outcome, null, null);
+        }
+    }
+
     @Override
     public void piece(Link l, Link.Piece piece) {
         int status = piece.status();
@@ -212,15 +231,7 @@
                 letGo();
                 over(outcome, null, null);
             }
-            case TAKEN -> {
-                stage = Stage.GIVING_UP;
-                boolean lastWord = exchange.closed || host.loop().nowUs() >= exchange.request.giveUpAtUs - NEAR_END_US;
-                host.delete(this, () -> over(outcome, null, null));
-                if (lastWord) {
-                    // Nothing more can be sent for it, so nobody need wait for the notice to be written.
-                    over(outcome, null, null);
-                }
-            }
+            case TAKEN -> tellWorker(outcome);
             default -> { }
         }
     }
--- a/node/src/main/java/hookweir/net/Loop.java
+++ b/node/src/main/java/hookweir/net/Loop.java
@@ -57,7 +57,7 @@
 
     /** Runs the task on the owner thread, after all that the same thread posted before. Any thread. */
     public void post(Runnable task) {
-        if (Thread.currentThread() == owner) {
+        if (isOwner()) {
             own.add(task);
         } else {
             fromOthers.add(task);
@@ -75,6 +75,11 @@
         afterRound.add(task);
     }
 
+    /** The calling thread owns all state. */
+    public boolean isOwner() {
+        return Thread.currentThread() == owner;
+    }
+
     /** Between {@link #run} and {@link #stop}. */
     boolean isRunning() {
         return running;
--- a/node/src/main/java/hookweir/net/Node.java
+++ b/node/src/main/java/hookweir/net/Node.java
@@ -56,10 +56,14 @@
         }
     }
 
+    /** To be called before the configuration is read: a SIGHUP from now on is heeded once the scheduler serves. */
+    public static void expectReloads() {
+        HangUp.expect();
+    }
+
     /** Serves until SIGTERM and all that is held then is finished; the exit status. */
     public int serve() throws IOException {
         loop.onDeath(Node::die);
-        HangUp.handle(() -> reload(System.getenv()));
         int port;
         try {
             port = start();
@@ -70,6 +74,7 @@
         var settings = config.settings().settings;
         Log.line(config.name() + " serves on port " + port + ", scheduler " + settings.me + " of " + settings.dispatchers
             + " in zone " + settings.zone);
+        HangUp.heed(() -> reload(System.getenv()));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             drain();
             awaitEnd();
@@ -139,6 +144,11 @@
         loop.post(task);
     }
 
+    /** Runs the task on the loop once a whole round of I/O has read what is there by now. */
+    void afterRound(Runnable task) {
+        loop.post(() -> loop.afterRound(task));
+    }
+
     /** Ends at once, whatever is held. */
     public void stop() {
         loop.post(loop::stop);
--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -49,6 +49,8 @@
     private static final long LET_GO_AFTER_US = 3_500_000;
     /** A process that follows another opens its door by then, with the list as last held if need be. */
     private static final long LIST_WAIT_US = 3_000_000;
+    /** An agent that has not answered by then has nobody to ask itself. */
+    private static final long AGENT_WAIT_US = 500_000;
     private static final int LEAST_SHARE = 16;
     private static final long EXIT_AFTER_US = 900_000;
     private static final long EXIT_POLL_US = 50_000;
@@ -79,7 +81,9 @@
     private final Set<String> taken = Recent.last(MOST_TAKEN);
     private int lastId;
     private boolean draining;
-    /** This process follows one that serves, and waits for the present list. */
+    /** This process follows one that serves. */
+    private boolean follows;
+    /** It opens its door once it has the present list. */
     private boolean waits;
     /** A later process has taken over the clients. */
     private boolean retired;
@@ -99,7 +103,7 @@
         ingress = new Ingress(loop, transport, invariants, room, this::links, this);
         egress = new Egress(loop, dialer, invariants, config.settings().dialTimeoutUs, config.settings().connIdleUs, room, ingress::size);
         listParser = new ListUpdate.Parser(config.settings().zones, config.settings().kinds, invariants, loop::nowUs);
-        discovery = new Discovery(loop, dialer, config.discovery(), listParser, invariants, this);
+        discovery = new Discovery(loop, dialer, config.discovery(), listParser, invariants, this::isPushed, this);
         module = new Policy(settings, config.seed(), this);
         succession = new Succession(loop, invariants, config.meeting(), this);
         share();
@@ -111,17 +115,16 @@
         if (known == null) {
             known = new ListUpdate(0, true, List.of());
         }
-        discovery.seeded(known.version());
+        discovery.seeded(isPushed() ? Discovery.UNKNOWN : known.version());
         told(new ListUpdate(known.version(), true, known.entries()));
         egress.start();
-        if (!settings.askForList) {
-            // A list that is pushed lies with an agent on this machine, and counts as told whether it was read or not.
-            discovery.watch(true);
+        if (isPushed()) {
+            discovery.watch(true); // begins with the whole list
+        } else if (waits) {
+            discovery.fetch();
         }
         if (waits) {
-            // The list as last held may be old, and nothing waits for this process yet: the present one comes first.
-            discovery.fetch();
-            loop.after(LIST_WAIT_US, this::open);
+            loop.after(follows ? LIST_WAIT_US : AGENT_WAIT_US, this::open);
         } else {
             succession.serves();
         }
@@ -142,7 +145,9 @@
      */
     public int listen(Config config) throws IOException {
         int port = ingress.listen(config.listen(), config.inherited());
-        waits = succession.follow();
+        follows = succession.follow();
+        // The list as last held may be old: where this process is not yet missed, or the present one is told already, it comes first.
+        waits = follows || isPushed();
         if (waits) {
             ingress.accepts(false);
         } else {
@@ -157,7 +162,7 @@
             ingress.accepts(true);
             standing.serves();
             succession.serves();
-            Log.line("took over");
+            Log.line(follows ? "took over" : "open");
         }
     }
 
@@ -269,6 +274,11 @@
 
     // ---- requests ----
 
+    /** The list lies with an agent on this machine, and counts as told whether it was read or not. */
+    private boolean isPushed() {
+        return !settings.askForList;
+    }
+
     private int links() {
         return egress == null ? 0 : egress.size();
     }
@@ -471,6 +481,11 @@
         return settings.classes.get(x.request.requestClass).effect != Contract.Effect.UNSAFE;
     }
 
+    /** Attempts can be called off. */
+    boolean cancels() {
+        return settings.cancels;
+    }
+
     /** A worker that is well says sooner than this that it took a job. */
     long takeLimitUs() {
         return TAKE_DIAL_LIMITS / PROBE_DIAL_LIMITS * probeLimitUs;
--- a/node/src/main/java/hookweir/net/discovery/Discovery.java
+++ b/node/src/main/java/hookweir/net/discovery/Discovery.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 /** The list's side: one watch at most, and single fetches, each on a link of its own. Belongs to the loop. */
 public final class Discovery {
@@ -25,9 +26,12 @@
     private static final long DIAL_US = 1_000_000;
     /** A call that is not answered by then is made again: all that is listed counts as told some seconds later. */
     private static final long ANSWER_US = 1_500_000;
+    /** An agent on this machine answers at once or is silent; what it hears at its return counts as told at once. */
+    private static final long AGENT_ANSWER_US = 100_000;
     /** An empty line comes every 2 s. What a silent watch misses counts as told 6 s later, which has to do for two tries. */
     private static final long SILENCE_US = 2_600_000;
-    private static final long UNKNOWN = -1;
+    /** No list is held: the whole one is asked for. */
+    public static final long UNKNOWN = -1;
     private static final int MOST_LINE_BYTES = 4 * 1024 * 1024;
 
     private final Loop loop;
@@ -35,6 +39,8 @@
     private final ListUpdate.Parser parser;
     private final Invariants invariants;
     private final Listener listener;
+    /** Lists are pushed: the address is that of an agent. */
+    private final BooleanSupplier pushed;
     private final Set<Call> fetches = new HashSet<>();
     private InetSocketAddress address;
     private Call watch;
@@ -44,7 +50,8 @@
     private boolean missed;
 
     public Discovery(Loop loop, Dialer dialer, InetSocketAddress address, ListUpdate.Parser parser,
-            Invariants invariants, Listener listener) {
+            Invariants invariants, BooleanSupplier pushed, Listener listener) {
+        this.pushed = pushed;
         this.loop = loop;
         this.dialer = dialer;
         this.address = address;
@@ -158,7 +165,7 @@
             if (!watches) {
                 fetches.add(this);
             }
-            silence = loop.after(ANSWER_US, this::silent);
+            silence = loop.after(pushed.getAsBoolean() ? AGENT_ANSWER_US : ANSWER_US, this::silent);
             link = dialer.dial(to, DIAL_US, this);
         }
 
--- a/node/src/main/java/hookweir/net/ingress/Door.java
+++ b/node/src/main/java/hookweir/net/ingress/Door.java
@@ -2,6 +2,7 @@
 
 import hookweir.net.Invariants;
 import hookweir.net.Log;
+import hookweir.net.Loop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -14,6 +15,7 @@
     /** Connections taken from the backlog between two rounds of I/O; the transport itself takes one a round. */
     private static final int MOST_ACCEPTS = 64;
 
+    private final Loop loop;
     private final TCPNIOBindingHandler binding;
     private final Invariants invariants;
     private TCPNIOServerConnection listener;
@@ -22,7 +24,8 @@
     private boolean full;
     private long accepted;
 
-    Door(TCPNIOBindingHandler binding, Invariants invariants) {
+    Door(Loop loop, TCPNIOBindingHandler binding, Invariants invariants) {
+        this.loop = loop;
         this.binding = binding;
         this.invariants = invariants;
     }
@@ -66,7 +69,19 @@
         return full;
     }
 
+    /**
+     * On the loop only, whoever asks: elsewhere the transport shuts it at once and opens it later, so that of one opening and
+     * one shutting the opening held.
+     */
     private void turn() {
+        if (loop.isOwner()) {
+            turnNow();
+        } else {
+            loop.post(this::turnNow);
+        }
+    }
+
+    private synchronized void turnNow() {
         if (listener == null) {
             return; // the binding is not yet known here
         }
--- a/node/src/main/java/hookweir/net/ingress/Ingress.java
+++ b/node/src/main/java/hookweir/net/ingress/Ingress.java
@@ -71,8 +71,9 @@
     private static final long SWEEP_US = 200_000;
     /** Where no client rests, a crowd does not have all of them looked through for each job that it brings. */
     private static final long LOOK_AGAIN_US = 50_000;
-    /** So much is still read and dropped at a connection's end; a sender of more is left to stall. */
+    /** So much is read and dropped at a time; a sender of more is left to stall for so long, again and again. */
     private static final int MOST_DROPPED = 256 * 1024;
+    private static final long STALL_US = 100_000;
     private static final int MOST_AHEAD = 8;
     /** Bytes behind those, on one connection and on all; whoever sends more is cut off after what was taken. */
     private static final int MOST_KEPT = 16 * 1024;
@@ -125,7 +126,7 @@
         this.room = room;
         this.links = links;
         this.handler = handler;
-        door = new Door(TCPNIOBindingHandler.builder(transport.tcp()).processor(FilterChainBuilder.stateless()
+        door = new Door(loop, TCPNIOBindingHandler.builder(transport.tcp()).processor(FilterChainBuilder.stateless()
             .add(new TransportFilter()).add(new RequestFilter()).build()).build(), invariants);
     }
 
@@ -258,8 +259,18 @@
         if (c.ended() && bytes > 0) {
             invariants.count("ingress bytes after the end");
         }
-        if ((c.dropped += bytes) > MOST_DROPPED) {
+        c.dropped += bytes;
+        if (c.dropped > MOST_DROPPED && !c.stalled) {
+            // Its end has to be seen all the same: what it sent before may wait for a worker still.
+            c.stalled = true;
             reads(c, false);
+            loop.after(STALL_US, () -> {
+                c.stalled = false;
+                c.dropped = 0;
+                if (c.connection.isOpen()) {
+                    reads(c, true);
+                }
+            });
         }
     }
 
@@ -609,8 +620,9 @@
                 regulate(c);
             });
         }
-        // While newcomers wait at the door workers take turns: the calls that wait there end jobs too.
-        boolean ends = !request.keepAlive() || (c.carriesCallbacks ? door.isFull() : sendingAway);
+        // While newcomers wait at the door workers take turns: the calls that wait there end jobs too. What a client sent ahead
+        // was taken, and is answered before it is sent away.
+        boolean ends = !request.keepAlive() || (c.carriesCallbacks ? door.isFull() : sendingAway && c.nothingAhead());
         Message head = head(status, body.length, retryAfter);
         if (ends) {
             c.enter(Phase.LAST_WORD);
@@ -694,13 +706,11 @@
     }
 
     /**
-     * Nothing is being read or answered, no connection is so young that its request may be on the way, and none lingers on
-     * which an answer may not have been read.
+     * Nothing is being read or answered, and no client's connection is left: each was ended in two halves, as a request may come
+     * on it until then.
      */
     public boolean quiet() {
-        long youngUs = loop.nowUs() - IngressConnection.DUE_US;
-        return writing == 0 && leaving.isEmpty()
-            && all.stream().allMatch(c -> c.isQuiet() && (c.proven || c.openedUs < youngUs));
+        return writing == 0 && leaving.isEmpty() && all.stream().allMatch(c -> c.isQuiet() && c.carriesCallbacks);
     }
 
     /** Open connections. */
--- a/node/src/main/java/hookweir/net/ingress/IngressConnection.java
+++ b/node/src/main/java/hookweir/net/ingress/IngressConnection.java
@@ -68,6 +68,8 @@
     long unreadSinceUs;
     /** Bytes that came in and were not looked at. */
     int dropped;
+    /** Reading rests, as its sender sends for nothing. */
+    boolean stalled;
     /** The bound of a lingering close. */
     TimerWheel.Timer linger;
 
@@ -141,6 +143,11 @@
         return idle() && insideSinceUs == 0 && rest == null && !deaf();
     }
 
+    /** Behind the request being answered there is none that was read. */
+    boolean nothingAhead() {
+        return ahead.isEmpty() && rest == null;
+    }
+
     /** It waits for a request. */
     boolean idle() {
         return current == null && ahead.isEmpty();
--- a/node/src/test/java/hookweir/net/ClosingTest.java
+++ b/node/src/test/java/hookweir/net/ClosingTest.java
@@ -150,4 +150,62 @@
             assertEquals(served, n.node.invariants().counted("exchanges"), "each that was taken was answered");
         }
     }
+
+    /** A request that a client sent ahead was taken, and is answered before its client is sent away. */
+    @Test
+    void whatWasSentAheadIsAnsweredBeforeItsClientIsSentAway() throws Exception {
+        try (TestNode n = new TestNode("read_like"); Socket client = n.connect()) {
+            say(client, job("h1") + job("h2"));
+            try (Socket w = n.worker.accept()) {
+                hear(w);
+                say(w, TAKEN);
+                n.node.drain();
+                n.ask(HEALTHZ);
+                n.tell("h1", "s-01", "done");
+                assertTrue(hear(client).startsWith("HTTP/1.1 200"));
+                assertTrue(hear(client).startsWith("HTTP/1.1 "), "an answer to what was taken");
+                end(client);
+            }
+        }
+    }
+
+    /** Its client sent much behind a job and left: that is seen, though little of it was read. */
+    @Test
+    void theEndOfAClientThatSentTooMuchIsSeen() throws Exception {
+        try (TestNode n = new TestNode("read_like")) {
+            Socket client = n.connect(); // closed by hand: its leaving is the test
+            say(client, job("i1"));
+            try (Socket w = n.worker.accept()) {
+                hear(w);
+                say(client, "\0".repeat(600_000));
+                n.awaitCount("ingress unreadable 400", 1);
+                client.close();
+                n.awaitCount("clients gone", 1);
+            }
+        }
+    }
+
+    /** As the process leaves, a client's connection on which nothing came yet is ended like any other, not closed under its request. */
+    @Test
+    void noConnectionOfAClientIsLeftAsTheProcessLeaves() throws Exception {
+        try (TestNode n = TestNode.frozen("read_like")) {
+            n.step(650_000);
+            n.node.drain();
+            n.rounds();
+            n.step(470_000);
+            n.rounds();
+            try (Socket client = n.connect()) {
+                n.rounds();
+                n.step(280_000); // a sweep finds it young
+                n.rounds();
+                n.step(170_000); // its first request is overdue, and the process would leave, before the next
+                n.rounds();
+                say(client, HEALTHZ);
+                assertTrue(hear(client).startsWith("HTTP/1.1 503"));
+                end(client);
+                n.goOn(0);
+            }
+            n.loop.join();
+        }
+    }
 }
--- a/node/src/test/java/hookweir/net/FailuresTest.java
+++ b/node/src/test/java/hookweir/net/FailuresTest.java
@@ -307,7 +307,8 @@
     @Test
     void hangUpIsHandled() throws Exception {
         CountDownLatch heard = new CountDownLatch(1);
-        HangUp.handle(heard::countDown);
+        HangUp.expect();
+        HangUp.heed(heard::countDown);
         new ProcessBuilder("kill", "-HUP", Long.toString(ProcessHandle.current().pid())).start();
         heard.await();
     }
--- a/node/src/test/java/hookweir/net/HardFleetTest.java
+++ b/node/src/test/java/hookweir/net/HardFleetTest.java
@@ -1,6 +1,5 @@
 package hookweir.net;
 
-import static hookweir.net.TestNode.CHUNKED;
 import static hookweir.net.TestNode.TAKEN;
 import static hookweir.net.TestNode.hear;
 import static hookweir.net.TestNode.job;
@@ -26,32 +25,26 @@
         line(watch, "{'version':" + version + ",'full':false,'servers':[" + entries + "]}");
     }
 
-    private static void whole(Socket call, int version, String entries) throws IOException {
-        String text = ("{'version':" + version + ",'full':true,'servers':[" + entries + "]}").replace('\'', '"');
-        say(call, "HTTP/1.1 200 OK\r\nContent-Length: " + text.length() + "\r\n\r\n" + text);
-    }
-
     /** What is told holds, but whether that was all is doubtful: the whole list is asked for, and counts from then on. */
     @Test
     void aVersionThatGoesBackIsHeededAndTheWholeListAskedFor() throws Exception {
-        try (TestNode n = TestNode.pushed()) {
-            try (Socket watch = n.list.accept()) {
-                assertTrue(hear(watch).startsWith("GET /v1/servers?watch=1&after=7 HTTP/1.1\r\n"));
-                say(watch, CHUNKED);
-                change(watch, 9, "");
-                change(watch, 4, n.entry("DRAINING"));
-                n.awaitCount("list updates", 3);
-                String answer = n.ask(TestNode.post("/api", "Req-Id: b1\r\nReq-Kind: render\r\nReq-Deadline-Ms: 50\r\n", "work"));
-                assertTrue(answer.startsWith("HTTP/1.1 429"), "its only worker drains, by an old version or not: " + answer);
-            }
-            try (Socket call = n.list.accept()) {
+        try (TestNode n = TestNode.pushed(); Socket watch = n.watched()) {
+            n.freeze();
+            change(watch, 9, "");
+            change(watch, 4, n.entry("DRAINING"));
+            n.awaitCount("list updates", 4);
+            try (Socket call = n.list.accept(); Socket client = n.connect()) {
                 assertTrue(hear(call).startsWith("GET /v1/servers HTTP/1.1\r\n"));
-                whole(call, 5, n.entry("SERVING"));
-                n.awaitCount("list updates", 4);
-            }
-            try (Socket watch = n.list.accept()) {
-                assertTrue(hear(watch).startsWith("GET /v1/servers?watch=1&after=5 HTTP/1.1\r\n"));
+                say(client, TestNode.post("/api", "Req-Id: b1\r\nReq-Kind: render\r\nReq-Deadline-Ms: 50\r\n", "work"));
+                n.rounds();
+                n.step(60_000);
+                String answer = hear(client);
+                assertTrue(answer.startsWith("HTTP/1.1 429"), "its only worker drains, by an old version or not: " + answer);
+                n.sayList(call, 5, "SERVING");
+                n.awaitCount("list updates", 5);
             }
+            n.watchedFrom(5).close();
+            n.goOn(0);
             assertEquals(1, n.node.invariants().counted("discovery version went back"));
             new AutoWorker(n, true);
             assertTrue(n.ask(job("b2")).startsWith("HTTP/1.1 200"));
@@ -99,9 +92,7 @@
     void aZoneWhoseLinksFallSilentAndAreThenResetCostsASafeJobNothing() throws Exception {
         try (ServerSocket other = new ServerSocket(0, 5, InetAddress.getLoopbackAddress()); TestNode n = TestNode.pushed()) {
             other.setSoTimeout(20_000);
-            Socket watch = n.list.accept();
-            hear(watch);
-            say(watch, CHUNKED);
+            Socket watch = n.watched();
             List<Socket> silent = new ArrayList<>();
             try (Socket client = n.connect(); Socket second = n.connect()) {
                 say(client, job("z1"));
@@ -118,7 +109,7 @@
                 hear(silent.get(1));
                 change(watch, 8, n.entry("DELETED") + ","
                     + n.entry("SERVING").replace("s-01", "s-02").replaceAll(":\\d+','zone", ":" + other.getLocalPort() + "','zone"));
-                n.awaitCount("list updates", 2);
+                n.awaitCount("list updates", 3);
                 for (Socket s : silent) {
                     s.setSoLinger(true, 0); // back: its machine knows nothing of these links
                     s.close();
--- a/node/src/test/java/hookweir/net/LinksTest.java
+++ b/node/src/test/java/hookweir/net/LinksTest.java
@@ -1,6 +1,5 @@
 package hookweir.net;
 
-import static hookweir.net.TestNode.CHUNKED;
 import static hookweir.net.TestNode.TAKEN;
 import static hookweir.net.TestNode.hear;
 import static hookweir.net.TestNode.job;
@@ -24,6 +23,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
@@ -93,12 +93,48 @@
         }
     }
 
+    /** Nobody said that it took the job, and a 202 may be on its way: the worker hears before the job goes out again. */
+    @Test
+    void aWorkerThatDidNotTakeAJobInTimeIsToldThatItIsGivenUp() throws Exception {
+        try (TestNode n = new TestNode("read_like", 200_000_000); Socket client = n.connect()) {
+            say(client, job("u1").replace("20000", "200000"));
+            try (Socket first = n.worker.accept()) {
+                hear(first);
+                n.settle();
+                n.goOn(31_000_000);
+                assertEquals("", hear(first));
+                try (Socket next = n.worker.accept()) {
+                    assertTrue(hear(next).startsWith("DELETE /jobs/u1 HTTP/1.1\r\n"));
+                    n.awaitCount("hops TIMEOUT", 1);
+                }
+            }
+        }
+    }
+
+    /** The 202 lay unread as the wait for it ran out, as the process had other things to do. */
+    @Test
+    void a202ThatLiesUnreadAsTheWaitEndsCounts() throws Exception {
+        try (TestNode n = new TestNode("read_like", 200_000_000); Socket client = n.connect()) {
+            say(client, job("u2").replace("20000", "200000"));
+            try (Socket w = n.worker.accept()) {
+                hear(w);
+                n.settle();
+                CountDownLatch gate = n.deaf();
+                say(w, TAKEN);
+                n.goOn(31_000_000);
+                gate.countDown();
+                n.tell("u2", "s-01", "done");
+                assertTrue(hear(client).startsWith("HTTP/1.1 200"));
+                assertEquals(0, n.node.invariants().counted("hops TIMEOUT"));
+            }
+        }
+    }
+
     /** The job is done in the round of I/O in which its time runs out: the answer stands, and the module knows of it. */
     @Test
     void anAnswerThatComesAsTheTimeRunsOutStands() throws Exception {
         try (TestNode n = TestNode.frozen("non_idempotent"); Socket client = n.connect()) {
-            n.goOn(10_000); // past the module's first timers, and before the next
-            n.freeze();
+            n.step(10_000); // past the module's first timers, and before the next
             say(client, job("x1").replace("20000", "100"));
             try (Socket w = n.worker.accept()) {
                 hear(w);
@@ -142,9 +178,7 @@
     @Test
     void linksToAnAddressThatAWorkerLeftAreGivenBack() throws Exception {
         try (ServerSocket other = new ServerSocket(0, 50, HERE);
-                TestNode n = new TestNode("read_like", 20_000_000, "'sockets':96"); Socket watch = n.list.accept(); Socket client = n.connect()) {
-            hear(watch);
-            say(watch, CHUNKED);
+                TestNode n = new TestNode("read_like", 20_000_000, "'sockets':96"); Socket watch = n.watchedFrom(7); Socket client = n.connect()) {
             new AutoWorker(n, true);
             new AutoWorker(n, other, "s-01", true, Integer.MAX_VALUE);
             String there = n.entry("SERVING").replaceAll(":\\d+','zone", ":" + other.getLocalPort() + "','zone");
--- a/node/src/test/java/hookweir/net/PushedListTest.java
+++ b/node/src/test/java/hookweir/net/PushedListTest.java
@@ -1,9 +1,7 @@
 package hookweir.net;
 
-import static hookweir.net.TestNode.CHUNKED;
 import static hookweir.net.TestNode.hear;
 import static hookweir.net.TestNode.line;
-import static hookweir.net.TestNode.say;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -15,11 +13,9 @@
     @Test
     void theAgentIsWatchedFromTheStartAndWhatItTellsHolds() throws Exception {
         try (TestNode n = TestNode.pushed()) {
-            try (Socket agent = n.list.accept()) {
-                assertTrue(hear(agent).startsWith("GET /v1/servers?watch=1&after=7 HTTP/1.1\r\n"));
-                say(agent, CHUNKED);
+            try (Socket agent = n.watched()) {
                 line(agent, "{'version':8,'full':false,'servers':[" + n.entry("DRAINING") + "]}");
-                n.awaitCount("list updates", 2);
+                n.awaitCount("list updates", 3);
                 // Its only worker drains: the job is not sent there, and is answered.
                 String answer = n.ask(TestNode.post("/api", "Req-Id: p1\r\nReq-Kind: render\r\nReq-Deadline-Ms: 50\r\n", "work"));
                 assertTrue(answer.startsWith("HTTP/1.1 429"), answer);
@@ -31,11 +27,9 @@
     @Test
     void anAgentThatWentAwayIsWatchedAgainFromWhereItStood() throws Exception {
         try (TestNode n = TestNode.pushed()) {
-            try (Socket agent = n.list.accept()) {
-                hear(agent);
-                say(agent, CHUNKED);
+            try (Socket agent = n.watched()) {
                 line(agent, "{'version':9,'full':true,'servers':[" + n.entry("SERVING") + "]}");
-                n.awaitCount("list updates", 2);
+                n.awaitCount("list updates", 3);
             }
             try (Socket agent = n.list.accept()) {
                 assertTrue(hear(agent).startsWith("GET /v1/servers?watch=1&after=9 HTTP/1.1\r\n"));
--- a/node/src/test/java/hookweir/net/TestNode.java
+++ b/node/src/test/java/hookweir/net/TestNode.java
@@ -3,6 +3,8 @@
 import hookweir.config.BadSetting;
 import hookweir.config.Config;
 import hookweir.config.ConfigReader;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -30,6 +32,7 @@
     final Thread loop;
     /** By so many nanoseconds the scheduler's clock is ahead of the system's. */
     volatile LongSupplier ahead = () -> 0;
+    private long stoodAt;
     private final String semantics;
     private final long deadlineUs;
     private final boolean probes;
@@ -170,7 +173,16 @@
 
     /** Stops the scheduler's clock, until {@link #goOn}. */
     void freeze() {
-        long at = System.nanoTime() + ahead.getAsLong();
+        stand(System.nanoTime() + ahead.getAsLong());
+    }
+
+    /** Lets the clock that stands be so much later, and stand there. */
+    void step(long us) {
+        stand(stoodAt + us * 1000);
+    }
+
+    private void stand(long at) {
+        stoodAt = at;
         ahead = () -> at - System.nanoTime();
     }
 
@@ -196,6 +208,43 @@
         return gate;
     }
 
+    /** Plays the agent of a pushed list: answers the first call with the list as last held, and opens the watch behind it. */
+    Socket watched() throws IOException {
+        try (Socket call = list.accept()) {
+            assertTrue(hear(call).startsWith("GET /v1/servers HTTP/1.1\r\n"));
+            sayList(call, 7, "SERVING");
+        }
+        return watchedFrom(7);
+    }
+
+    /** Takes a call for a watch, and begins to answer it. */
+    Socket watchedFrom(long version) throws IOException {
+        Socket watch = list.accept();
+        assertTrue(hear(watch).startsWith("GET /v1/servers?watch=1&after=" + version + " HTTP/1.1\r\n"));
+        say(watch, CHUNKED);
+        return watch;
+    }
+
+    /** The whole list, its one worker in this state. */
+    void sayList(Socket call, long version, String state) throws IOException {
+        String text = ("{'version':" + version + ",'full':true,'servers':[" + entry(state) + "]}").replace('\'', '"');
+        say(call, "HTTP/1.1 200 OK\r\nContent-Length: " + text.length() + "\r\n\r\n" + text);
+    }
+
+    /** Waits until the loop has read what is there by now, and done what that led to. */
+    void rounds() throws InterruptedException {
+        for (int i = 0; i < 3; i++) {
+            CountDownLatch over = new CountDownLatch(1);
+            node.afterRound(over::countDown);
+            over.await();
+        }
+    }
+
+    /** Waits until the loop has done all that it had to do by now. */
+    void settle() throws IOException {
+        ask("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+
     /** Waits until something was counted so often. */
     void awaitCount(String name, long times) throws InterruptedException {
         while (node.invariants().counted(name) < times) {
