Learn the age of reports by whatever figures they have, not by utilization alone

Reports there are 0.5 to 1.3 s old; Policy.take learnt that age by two equal figures of utilization, which is absent (NaN equals nothing), so they passed for 8 ms old: every scheduler ran after the same figures. Mend: two reports whose figures add up to the same, not whole, number were one measuring (Contract.Report.sum).

--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -60,7 +60,7 @@
         boolean ready, cold, listed, checkOut;
         long hash, listedStartUs, startedUs, heardUs, recentUs, figureUs, fullUntilUs, asideUntilUs;
         double busy = Double.NaN, serviceMs = Double.NaN;
-        double free, utilization, sizeMax, out, recent, fresh, bad, errors;
+        double mark, sizeMax, out, recent, fresh, bad, errors;
         long badUs;
     }
 
@@ -490,15 +490,15 @@
         } else if (r.utilization >= 0) {
             heard(w, now, slots(w) * Math.min(1, r.utilization));
         }
-        if (r.utilization == w.utilization && r.free == w.free && r.utilization > 0 && r.utilization < 1) {
+        double mark = r.sum();
+        if (mark == w.mark && mark != Math.rint(mark)) {
             // The same noisy figures again: not refreshed in between, so reports are at least this old.
             staleUs += Math.max(0, now - w.figureUs - staleUs) * STALE_GAIN;
         } else {
             w.figureUs = now;
         }
         w.errors = r.errorsPerS > 0 ? r.errorsPerS * serviceUs / 1e6 / slots(w) : 0;
-        w.utilization = r.utilization;
-        w.free = r.free;
+        w.mark = mark;
         if (r.serviceMs > 0) {
             w.serviceMs = r.serviceMs;
             meanMs = Double.isNaN(meanMs) ? r.serviceMs : mean(meanMs, r.serviceMs);
--- a/core/src/test/java/hookweir/PolicyDrawTest.java
+++ b/core/src/test/java/hookweir/PolicyDrawTest.java
@@ -255,6 +255,30 @@
         assertEquals(java.util.List.of(roomy), h.sentTo);
     }
 
+    /** Probes made for the next job after so many reports 0.5 s apart, each of which tells these figures and so much more in hand. */
+    private static int looksAfter(int reports, double free, double inHand, double step) {
+        Contract.Settings s = RecordingHost.probing(Contract.Effect.SAFE);
+        RecordingHost h = RecordingHost.with(s, 5);
+        h.fleet(worker(1), worker(2));
+        for (int i = 0; i < reports; i++) {
+            Contract.Report r = RecordingHost.free(free);
+            r.inHand = inHand + i * step;
+            h.policy.probed(h.now, 1, Contract.Outcome.OK, 500, r);
+            h.pass(500_000);
+        }
+        int before = h.probes.size();
+        h.take(1, s);
+        return h.probes.size() - before;
+    }
+
+    /** Where reports had no utilization those of a second ago were taken for new ones, and every dispatcher ran after them. */
+    @Test
+    void theAgeOfReportsIsLearntByWhateverFiguresTheyHave() {
+        assertEquals(0, looksAfter(12, 2, 1.37, 0), "the same measuring for 6 s: too old to tell who is full");
+        assertTrue(looksAfter(12, 2, 1.37, 0.01) > 0, "measured anew each time");
+        assertTrue(looksAfter(12, 2, 1, 0) > 0, "whole figures may well be alike");
+    }
+
     @Test
     void aLookThatIsNotAnsweredHoldsNobodyUp() {
         Contract.Settings s = settings(Contract.Effect.SAFE);
