--- a/node/src/main/java/hookweir/net/Link.java
+++ b/node/src/main/java/hookweir/net/Link.java
@@ -50,14 +50,23 @@
     public record Piece(int status, boolean declined, String load, boolean keepAlive, byte[] bytes, boolean last) {
     }
 
+    /** How far its life has come; it only ever goes on. */
+    private enum Phase {
+        DIALLING,
+        /** Calls are made, or it rests. */
+        UP,
+        /** Its output is shut, nobody hears of it any more, and what comes is dropped until the peer's end or a bound. */
+        LINGERING,
+        DOWN
+    }
+
     private final Loop loop;
     private final Transport transport;
     private final AnswerReader reader = new AnswerReader();
     private final TimerWheel.Timer dialLimit;
     private Handler handler;
     private Connection<?> connection;
-    private boolean isUp;
-    private boolean isDown;
+    private Phase phase = Phase.DIALLING;
     private boolean calling;
     private boolean writing;
     private boolean broken;
@@ -92,7 +101,7 @@
 
     /** Guards against a machine that vanished: its connections never come up, and nobody says so. */
     private void dialLate() {
-        if (!isUp) {
+        if (phase == Phase.DIALLING) {
             fallDown();
         }
     }
@@ -100,12 +109,12 @@
     /** From the selector: the dial succeeded. */
     void connected(Connection<?> c) {
         loop.post(() -> {
-            if (isDown) {
+            if (phase != Phase.DIALLING) {
                 c.closeSilently(); // it came up late, as its dial was called off
                 return;
             }
             connection = c;
-            isUp = true;
+            phase = Phase.UP;
             dialLimit.cancel();
             handler.up(this);
         });
@@ -117,14 +126,8 @@
     }
 
     private void fallDown() {
-        if (onClosed != null) {
-            if (linger != null) {
-                linger.cancel();
-            }
-            onClosed.run();
-            onClosed = null;
-        }
-        if (isDown) {
+        if (isEnded()) {
+            enterDown();
             return;
         }
         if (writing) {
@@ -164,7 +167,7 @@
     }
 
     private void take(Piece piece, boolean framed) {
-        if (isDown) {
+        if (isEnded()) {
             return;
         }
         if (!calling) {
@@ -200,7 +203,7 @@
 
     private void wrote(boolean whole) {
         writing = false;
-        if (!isDown && calling && whole) {
+        if (!isEnded() && calling && whole) {
             handler.written(this);
         }
         for (Runnable piece = early.poll(); piece != null; piece = early.poll()) {
@@ -216,7 +219,7 @@
      * later, to the last byte, would be an attempt that was given up.
      */
     public void close() {
-        isDown = true;
+        enterDown();
         dialLimit.cancel();
         dial.cancel(false);
         if (connection != null && writing) {
@@ -233,16 +236,14 @@
      * @param closed runs once it is closed
      */
     public void end(Runnable closed) {
-        if (isDown || connection == null || writing) {
+        if (phase != Phase.UP || writing || !HalfClose.shutOutput(connection)) {
             close();
             closed.run();
             return;
         }
-        isDown = true;
+        phase = Phase.LINGERING;
         onClosed = closed;
-        if (HalfClose.shutOutput(connection)) {
-            linger = loop.after(HalfClose.LINGER_US, connection::closeSilently);
-        }
+        linger = loop.after(HalfClose.LINGER_US, connection::closeSilently);
     }
 
     /** An answer that came was none to its call, whose own is yet to come. */
@@ -250,9 +251,22 @@
         calling = true;
     }
 
+    private void enterDown() {
+        boolean lingered = phase == Phase.LINGERING;
+        phase = Phase.DOWN;
+        if (lingered) {
+            linger.cancel();
+            onClosed.run();
+        }
+    }
+
+    private boolean isEnded() {
+        return phase == Phase.LINGERING || phase == Phase.DOWN;
+    }
+
     /** It is up and carries no call. */
     public boolean isFree() {
-        return isUp && !isDown && !calling && connection.isOpen();
+        return phase == Phase.UP && !calling && connection.isOpen();
     }
 
     /** A pool takes it back: only its end matters now. */
--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -21,7 +21,6 @@
 import hookweir.net.upgrade.Succession;
 import hookweir.net.upgrade.Wire;
 import hookweir.room.Room;
-import hookweir.timer.TimerWheel;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -498,7 +497,7 @@
 
     /** Tells a worker that a hop that it took is given up; runs the task once that is on its way, or can't be. */
     void delete(Hop hop, Runnable after) {
-        new Errand(hop.target, "DELETE", "/jobs/" + hop.exchange.from.headers().id(), Egress.ANY) {
+        new Errand(loop, egress, invariants, probeLimitUs, hop.target, "DELETE", "/jobs/" + hop.exchange.from.headers().id(), Egress.ANY) {
             @Override
             void onWritten() {
                 after.run();
@@ -511,107 +510,6 @@
         }.start();
     }
 
-    /** A short call without a body, on a link of the target's pool: a probe or a notice. */
-    private abstract class Errand implements Link.Handler {
-        final long startUs = loop.nowUs();
-        private final EgressTarget target;
-        private final double links;
-        private final String method;
-        private final String path;
-        private final java.io.ByteArrayOutputStream body = new java.io.ByteArrayOutputStream();
-        private TimerWheel.Timer limit;
-        private TimerWheel.Timer patience;
-        private boolean over;
-
-        Errand(EgressTarget target, String method, String path, double links) {
-            this.links = links;
-            this.target = target;
-            this.method = method;
-            this.path = path;
-        }
-
-        void onWritten() {
-        }
-
-        abstract void onEnd(Outcome outcome, Link.Piece last, byte[] whole);
-
-        void start() {
-            limit = loop.after(probeLimitUs, () -> end(Outcome.TIMEOUT, null));
-            dial(links);
-        }
-
-        private void dial(double mostBreaks) {
-            egress.link(target, this, mostBreaks);
-        }
-
-        @Override
-        public void noLink() {
-            end(Outcome.CONNECT_FAILED, null);
-        }
-
-        private void end(Outcome outcome, Link.Piece last) {
-            if (!over) {
-                over = true;
-                limit.cancel();
-                onEnd(outcome, last, body.toByteArray());
-            }
-        }
-
-        @Override
-        public void up(Link l) {
-            l.call(l.head(method, path, null, target.host()), NOTHING, this);
-            // An answer later than the limit is read to keep the link, but not for ever.
-            patience = loop.after(4 * probeLimitUs, () -> {
-                if (!over || !done) {
-                    end(Outcome.TIMEOUT, null);
-                    egress.end(l);
-                }
-            });
-        }
-
-        private boolean done;
-        private boolean written;
-
-        @Override
-        public void written(Link l) {
-            written = true;
-            onWritten();
-        }
-
-        @Override
-        public void piece(Link l, Link.Piece piece) {
-            if (body.size() <= Transport.MOST_BODY_BYTES) {
-                body.writeBytes(piece.bytes());
-            }
-            if (piece.last()) {
-                done = true;
-                patience.cancel();
-                egress.used(l, false);
-                egress.release(target, l, piece.keepAlive());
-                end(piece.status() == 200 ? Outcome.OK : piece.declined() ? Outcome.FULL : Outcome.ERROR, piece);
-            }
-        }
-
-        @Override
-        public void down(Link l) {
-            boolean kept = l.kept;
-            if (patience != null) {
-                patience.cancel();
-            }
-            egress.used(l, true);
-            egress.end(l);
-            if (kept && !over) {
-                // A kept link may have been closed unseen, which says nothing of the worker; an errand may be repeated.
-                invariants.count("errands once more");
-                written = false;
-                dial(Egress.NONE);
-                return;
-            }
-            done = true;
-            end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
-        }
-    }
-
     // ---- Contract.Host ----
 
     @Override
@@ -669,7 +567,7 @@
             return;
         }
         invariants.count("probes");
-        new Errand(target, "GET", settings.reports == Contract.ReportsBy.NEVER ? "/healthz" : "/load", Egress.SETTLED) {
+        new Errand(loop, egress, invariants, probeLimitUs, target, "GET", settings.reports == Contract.ReportsBy.NEVER ? "/healthz" : "/load", Egress.SETTLED) {
             @Override
             void onEnd(Outcome outcome, Link.Piece last, byte[] whole) {
                 Report report = last == null ? null : last.load() != null ? loadReport.ofPairs(last.load()) : loadReport.ofBody(whole);
