--- a/core/src/main/java/hookweir/Contract.java
+++ b/core/src/main/java/hookweir/Contract.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.stream.DoubleStream;
 
 /**
  * The interface between one dispatcher's decisions ({@link Policy}) and the host it lives in.
@@ -236,11 +235,6 @@
         /** Errors a second. */
         public double errorsPerS;
 
-        /** All that is told of the load, added up: two reports alike in it were one measuring, as measured figures are noisy. */
-        public double sum() {
-            return DoubleStream.of(free, freeMemory, utilization, serviceMs, inHand, waiting).filter(x -> x > 0).sum();
-        }
-
         /** Makes every figure absent. */
         public void clear() {
             free = freeMemory = utilization = serviceMs = inHand = waiting = errorsPerS = Double.NaN;
--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -60,7 +60,7 @@
         boolean ready, cold, listed, checkOut;
         long hash, listedStartUs, startedUs, heardUs, recentUs, figureUs, fullUntilUs, asideUntilUs;
         double busy = Double.NaN, serviceMs = Double.NaN;
-        double mark, sizeMax, out, recent, fresh, bad, errors;
+        double load, free, sizeMax, out, recent, fresh, bad, errors;
         long badUs;
     }
 
@@ -490,15 +490,16 @@
         } else if (r.utilization >= 0) {
             heard(w, now, slots(w) * Math.min(1, r.utilization));
         }
-        double mark = r.sum();
-        if (mark == w.mark && mark != Math.rint(mark)) {
-            // The same noisy figures again: not refreshed in between, so reports are at least this old.
+        double load = r.utilization >= 0 ? r.utilization : r.inHand;
+        if (load == w.load && r.free == w.free && load != Math.rint(load) && !(r.utilization > 1)) {
+            // The same noisy figures again, none at its bound: not refreshed in between, so reports are at least this old.
             staleUs += Math.max(0, now - w.figureUs - staleUs) * STALE_GAIN;
         } else {
             w.figureUs = now;
         }
         w.errors = r.errorsPerS > 0 ? r.errorsPerS * serviceUs / 1e6 / slots(w) : 0;
-        w.mark = mark;
+        w.load = load;
+        w.free = r.free;
         if (r.serviceMs > 0) {
             w.serviceMs = r.serviceMs;
             meanMs = Double.isNaN(meanMs) ? r.serviceMs : mean(meanMs, r.serviceMs);
--- a/core/src/test/java/hookweir/PolicyDrawTest.java
+++ b/core/src/test/java/hookweir/PolicyDrawTest.java
@@ -255,13 +255,14 @@
         assertEquals(java.util.List.of(roomy), h.sentTo);
     }
 
-    /** Probes made for the next job after so many reports 0.5 s apart, each of which tells these figures and so much more in hand. */
-    private static int looksAfter(int reports, double free, double inHand, double step) {
+    /** Probes made for the next job after reports of 6 s, 0.5 s apart, each of which tells these figures and so much more in hand. */
+    private static int looksAfter(double utilization, double inHand, double step) {
         Contract.Settings s = RecordingHost.probing(Contract.Effect.SAFE);
         RecordingHost h = RecordingHost.with(s, 5);
         h.fleet(worker(1), worker(2));
-        for (int i = 0; i < reports; i++) {
-            Contract.Report r = RecordingHost.free(free);
+        for (int i = 0; i < 12; i++) {
+            Contract.Report r = RecordingHost.free(2);
+            r.utilization = utilization;
             r.inHand = inHand + i * step;
             h.policy.probed(h.now, 1, Contract.Outcome.OK, 500, r);
             h.pass(500_000);
@@ -274,9 +275,11 @@
     /** Where reports had no utilization those of a second ago were taken for new ones, and every dispatcher ran after them. */
     @Test
     void theAgeOfReportsIsLearntByWhateverFiguresTheyHave() {
-        assertEquals(0, looksAfter(12, 2, 1.37, 0), "the same measuring for 6 s: too old to tell who is full");
-        assertTrue(looksAfter(12, 2, 1.37, 0.01) > 0, "measured anew each time");
-        assertTrue(looksAfter(12, 2, 1, 0) > 0, "whole figures may well be alike");
+        assertEquals(0, looksAfter(Double.NaN, 1.37, 0), "the same measuring for 6 s: too old to tell who is full");
+        assertTrue(looksAfter(Double.NaN, 1.37, 0.01) > 0, "measured anew each time");
+        assertTrue(looksAfter(Double.NaN, 1, 0) > 0, "whole figures may well be alike");
+        assertEquals(0, looksAfter(0.37, 1, 0), "the same utilization");
+        assertTrue(looksAfter(1.02, 1, 0) > 0, "a full worker reads alike each time");
     }
 
     @Test
