--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -492,7 +492,7 @@
         }
         double load = r.utilization >= 0 ? r.utilization : r.inHand;
         if (load == w.load && r.free == w.free && load != Math.rint(load) && !(r.utilization > 1)) {
-            // The same noisy figures again, none at its bound: not refreshed in between, so reports are at least this old.
+            // The same noisy figures again: not refreshed in between, so reports are at least this old.
             staleUs += Math.max(0, now - w.figureUs - staleUs) * STALE_GAIN;
         } else {
             w.figureUs = now;
