Let a link rest after a check or notice that was not answered by 200, as after a job

Read, then forced (LinksTest.aLinkThatCarriedACheckThatFailedSettlesToo, red before): a second 503 to a check, or a second 202 that came under a DELETE, met the next job on that link and ended it as failed, or as taken, while it ran or was refused.

--- a/node/src/main/java/hookweir/net/Errand.java
+++ b/node/src/main/java/hookweir/net/Errand.java
@@ -12,6 +12,7 @@
  */
 abstract class Errand implements Link.Handler {
     private static final byte[] NOTHING = new byte[0];
+    private static final int OK = 200;
     /** An answer later than the limit is read to keep the link, for so many limits. */
     private static final int PATIENCE_LIMITS = 4;
 
@@ -102,8 +103,12 @@
             stage = Stage.ANSWERED;
             patience.cancel();
             egress.used(l, false);
-            egress.release(target, l, piece.keepAlive());
-            end(piece.status() == 200 ? Outcome.OK : piece.declined() ? Outcome.FULL : Outcome.ERROR, piece);
+            if (piece.status() == OK) {
+                egress.release(target, l, piece.keepAlive()); // a second one would be passed over by a job
+            } else {
+                egress.settles(target, l, piece.keepAlive());
+            }
+            end(piece.status() == OK ? Outcome.OK : piece.declined() ? Outcome.FULL : Outcome.ERROR, piece);
         }
     }
 
--- a/node/src/main/java/hookweir/net/egress/Egress.java
+++ b/node/src/main/java/hookweir/net/egress/Egress.java
@@ -272,7 +272,7 @@
         }
     }
 
-    /** Takes a link back after a job's answer: it carries no other until a second answer would have come. */
+    /** Takes a link back after an answer that could be a job's: it carries no other until a second one would have come. */
     public void settles(EgressTarget target, Link link, boolean keepAlive) {
         link.settledUs = loop.nowUs() + SETTLE_US;
         release(target, link, keepAlive);
--- a/node/src/test/java/hookweir/net/LinksTest.java
+++ b/node/src/test/java/hookweir/net/LinksTest.java
@@ -222,37 +222,88 @@
         }
     }
 
-    /** Each link that settles is waited for by one call: where all waited, a busy worker's jobs did so for ever. */
-    @Test
-    void oneCallWaitsForALinkThatSettlesAndTheNextDials() throws Exception {
-        try (Bare bare = new Bare(); ServerSocket door = new ServerSocket(0, 5, HERE)) {
+    /** A pool beside a door that the test opens, and all links that came up. */
+    private static final class Pool implements AutoCloseable {
+        final Bare bare = new Bare();
+        final ServerSocket door = new ServerSocket(0, 5, HERE);
+        final Invariants invariants = new Invariants();
+        final Egress egress;
+        final BlockingQueue<Link> up = new LinkedBlockingQueue<>();
+        final Link.Handler recorder = new Silent() {
+            @Override
+            public void up(Link link) {
+                up.add(link);
+            }
+        };
+
+        Pool() throws Exception {
             Room room = new Room(1 << 20, 100);
             room.descriptors(100);
-            Egress egress = new Egress(bare.loop, bare.dialer, new Invariants(), 20_000_000, 20_000_000, room, () -> 0);
-            BlockingQueue<Link> up = new LinkedBlockingQueue<>();
-            Link.Handler taken = new Silent() {
-                @Override
-                public void up(Link link) {
-                    up.add(link);
-                }
-            };
-            bare.loop.post(() -> {
-                egress.told(1, "s-01", new InetSocketAddress(HERE, door.getLocalPort()), Contract.State.READY);
-                egress.link(egress.target(1), taken, Egress.SETTLED);
-            });
-            Link first = up.take();
-            long now = System.nanoTime();
-            bare.clock = () -> now;
-            bare.loop.post(() -> {
-                egress.settles(egress.target(1), first, true);
-                egress.link(egress.target(1), taken, Egress.SETTLED);
-                egress.link(egress.target(1), taken, Egress.SETTLED);
-            });
+            egress = new Egress(bare.loop, bare.dialer, invariants, 20_000_000, 20_000_000, room, () -> 0);
+            bare.loop.post(() -> egress.told(1, "s-01", new InetSocketAddress(HERE, door.getLocalPort()), Contract.State.READY));
+        }
+
+        void link() {
+            bare.loop.post(() -> egress.link(egress.target(1), recorder, Egress.SETTLED));
+        }
+
+        /** Of two calls one waits for the link to settle, and the other dials. */
+        void settlesForOne(Link first) throws Exception {
+            link();
+            link();
             assertNotSame(first, up.take(), "the second, while the first waits");
             bare.clock = System::nanoTime;
             bare.loop.post(() -> { });
             assertSame(first, up.take());
         }
+
+        @Override
+        public void close() throws Exception {
+            bare.close();
+            door.close();
+        }
+    }
+
+    /** Each link that settles is waited for by one call: where all waited, a busy worker's jobs did so for ever. */
+    @Test
+    void oneCallWaitsForALinkThatSettlesAndTheNextDials() throws Exception {
+        try (Pool pool = new Pool()) {
+            pool.link();
+            Link first = pool.up.take();
+            long now = System.nanoTime();
+            pool.bare.clock = () -> now;
+            pool.bare.loop.post(() -> pool.egress.settles(pool.egress.target(1), first, true));
+            pool.settlesForOne(first);
+        }
+    }
+
+    /** A check's second answer that is no 200 could be a job's: it ended one as failed, and left it running. */
+    @Test
+    void aLinkThatCarriedACheckThatFailedSettlesToo() throws Exception {
+        try (Pool pool = new Pool()) {
+            CountDownLatch ended = new CountDownLatch(1);
+            pool.bare.loop.post(() -> new Errand(pool.bare.loop, pool.egress, pool.invariants, 20_000_000, pool.egress.target(1), "GET", "/healthz",
+                    Egress.SETTLED) {
+                @Override
+                public void up(Link link) {
+                    pool.up.add(link);
+                    super.up(link);
+                }
+
+                @Override
+                void onEnd(Contract.Outcome outcome, Link.Piece last, byte[] whole) {
+                    ended.countDown();
+                }
+            }.start());
+            try (Socket w = pool.door.accept()) {
+                hear(w);
+                long now = System.nanoTime();
+                pool.bare.clock = () -> now;
+                say(w, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+                ended.await();
+                pool.settlesForOne(pool.up.take());
+            }
+        }
     }
 
     /** Dials to a machine that vanished kept their descriptors for minutes, beside all that is counted. */
