Test the hand-over's switch by which Unix sockets are new, not by how many there are

Seen: in a fresh clone UpgradeTest.withoutTheHandOverThereIsNoUnixSocket failed once with one socket less than at its start: an earlier test's node ended meanwhile and gave its own back. The count also let a new socket pass where an old one went.

--- a/node/src/test/java/hookweir/net/UpgradeTest.java
+++ b/node/src/test/java/hookweir/net/UpgradeTest.java
@@ -21,7 +21,9 @@
 import java.nio.channels.SocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashSet;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -34,43 +36,45 @@
     @TempDir
     Path folder;
 
-    /** Unix sockets that this process holds, by what the system says of its descriptors. */
-    private static long unixSockets() throws IOException {
-        java.util.Set<String> unix = new java.util.HashSet<>();
+    /** Unix sockets that this process holds besides those, by what the system says of its descriptors. */
+    private static Set<String> unixSockets(Set<String> but) throws IOException {
+        Set<String> unix = new HashSet<>();
         for (String line : Files.readAllLines(Path.of("/proc/self/net/unix"))) {
             String[] f = line.strip().split("\\s+");
             unix.add(f.length > 6 ? "socket:[" + f[6] + "]" : "");
         }
-        long held = 0;
+        Set<String> held = new HashSet<>();
         try (java.util.stream.Stream<Path> all = Files.list(Path.of("/proc/self/fd"))) {
             for (Path p : all.toList()) {
                 try {
-                    held += unix.contains(Files.readSymbolicLink(p).toString()) ? 1 : 0;
+                    held.add(Files.readSymbolicLink(p).toString());
                 } catch (java.nio.file.NoSuchFileException e) {
                     continue; // closed since, the listing's own among them
                 }
             }
         }
+        held.retainAll(unix);
+        held.removeAll(but);
         return held;
     }
 
     /** Where the hand-over is off nobody looks for another process or can be found by one, though one starts beside it. */
     @Test
     void withoutTheHandOverThereIsNoUnixSocket() throws Exception {
-        long before = unixSockets();
+        Set<String> before = unixSockets(Set.of()); // what earlier tests left may go at any time
         try (TestNode old = node(); TestNode young = node()) {
             tellList(young);
             old.awaitCount("clients sent away", 1);
-            assertTrue(unixSockets() >= before + 3, "the name and both ends of the wire"); // the look itself works
+            assertTrue(unixSockets(before).size() >= 3, "the name and both ends of the wire"); // the look itself works
         }
-        while (unixSockets() > before) {
+        while (!unixSockets(before).isEmpty()) {
             Thread.sleep(5);
         }
         Files.deleteIfExists(folder.resolve("hw"));
         try (TestNode old = new TestNode("read_like", 20_000_000); TestNode young = new TestNode("read_like", 20_000_000)) {
             settle(old);
             settle(young);
-            assertEquals(before, unixSockets());
+            assertEquals(Set.of(), unixSockets(before));
             assertTrue(old.call("GET", "health").startsWith("HTTP/1.1 200"));
             assertTrue(young.call("GET", "health").startsWith("HTTP/1.1 200"));
             try (java.util.stream.Stream<Path> left = Files.list(folder)) {
