Use the link that rested longest where many rest: a busy worker's jobs waited for links or dialled them

At Egress.link a worker that gets a job each 2 ms had all its links resting, so calls waited or dialled anew. Mend: where four links rest at one target none is waited for and none dialled; at a few jobs a second, where a second answer could meet the next job, nothing changes. LinksTest.whereManyLinksRestTheOneThatRestedLongestIsUsed forces it.

--- a/node/src/main/java/hookweir/net/egress/Egress.java
+++ b/node/src/main/java/hookweir/net/egress/Egress.java
@@ -33,6 +33,8 @@
     private static final double BREAKS_GAIN = 0.1;
     /** A worker's second answer to a job comes within this of its first, if it comes. */
     private static final long SETTLE_US = 30_000;
+    /** With so many that rest at one target its calls come so close that none is waited for. */
+    private static final int MANY_RESTING = 4;
     /** Links that were ended and linger: their descriptors come out of the process's own. */
     private static final int MOST_LINGERING = 16;
 
@@ -139,24 +141,28 @@
     public Link link(EgressTarget target, Link.Handler handler, double mostBreaks) {
         long now = loop.nowUs();
         Link settling = null;
+        int resting = 0;
         for (Iterator<Link> it = target.idle.iterator(); it.hasNext() && keptBreaks <= mostBreaks;) {
             Link link = it.next();
             if (link.reserved) {
                 continue;
             }
             if (mostBreaks < ANY && link.settledUs > now && link.isFree()) {
+                resting++;
                 settling = settling == null || link.settledUs < settling.settledUs ? link : settling;
                 continue;
             }
             it.remove();
             if (link.isFree()) {
-                link.kept = true;
-                link.rest(handler);
-                handler.up(link);
-                return link;
+                return reused(link, handler);
             }
             end(link);
         }
+        if (resting >= MANY_RESTING) {
+            // So busy a worker would need dials without end: the one that rested longest has to do.
+            target.idle.remove(settling);
+            return reused(settling, handler);
+        }
         if (settling != null) {
             // At no cost to the worker, unlike a dial. Each waits for one of its own: who finds none dials.
             Link own = settling;
@@ -184,6 +190,13 @@
         return link;
     }
 
+    private static Link reused(Link link, Link.Handler handler) {
+        link.kept = true;
+        link.rest(handler);
+        handler.up(link);
+        return link;
+    }
+
     /**
      * A link or its place came free: those who wait have it, the first to come first; but a link goes to whoever waits for
      * its own target, as to end it for the sake of another's would cost a dial.
--- a/node/src/test/java/hookweir/net/LinksTest.java
+++ b/node/src/test/java/hookweir/net/LinksTest.java
@@ -277,6 +277,26 @@
         }
     }
 
+    /** A worker that gets jobs without a pause: resting links were dialled round without end, and it carried 5,800 jobs/s in place of 14,200. */
+    @Test
+    void whereManyLinksRestTheOneThatRestedLongestIsUsed() throws Exception {
+        try (Pool pool = new Pool()) {
+            List<Link> all = new ArrayList<>();
+            for (int i = 0; i < 4; i++) {
+                pool.link();
+                all.add(pool.up.take());
+            }
+            long now = System.nanoTime();
+            pool.bare.clock = () -> now;
+            for (Link link : all) {
+                pool.bare.loop.post(() -> pool.egress.settles(pool.egress.target(1), link, true));
+            }
+            pool.link();
+            assertTrue(all.contains(pool.up.take()), "no dial, and no wait");
+            assertEquals(4, pool.invariants.counted("egress dials"));
+        }
+    }
+
     /** A check's second answer that is no 200 could be a job's: it ended one as failed, and left it running. */
     @Test
     void aLinkThatCarriedACheckThatFailedSettlesToo() throws Exception {
