Read-over: the upgrade's tests use the shared list and the shared wait for the loop

TestNode had got sayList and settle, which UpgradeTest wrote out itself. Same bytes on the wire, same assertions; UpgradeTest and lint pass.

--- a/node/src/test/java/hookweir/net/UpgradeTest.java
+++ b/node/src/test/java/hookweir/net/UpgradeTest.java
@@ -72,8 +72,8 @@
         }
         Files.deleteIfExists(folder.resolve("hw"));
         try (TestNode old = new TestNode("read_like", 20_000_000); TestNode young = new TestNode("read_like", 20_000_000)) {
-            settle(old);
-            settle(young);
+            old.settle();
+            young.settle();
             assertEquals(Set.of(), unixSockets(before));
             assertTrue(old.call("GET", "health").startsWith("HTTP/1.1 200"));
             assertTrue(young.call("GET", "health").startsWith("HTTP/1.1 200"));
@@ -87,16 +87,10 @@
         return new TestNode("read_like", 20_000_000, false, folder.resolve("hw"));
     }
 
-    /** Waits until a started node can be found by its name, which the loop takes. */
-    private static void settle(TestNode n) throws Exception {
-        n.ask(HEALTHZ);
-    }
-
     private static void tellList(TestNode n) throws IOException {
         try (Socket d = n.list.accept()) {
             assertTrue(hear(d).startsWith("GET /v1/servers HTTP/1.1\r\n"));
-            String list = ("{'version':8,'full':true,'servers':[" + n.entry("SERVING") + "]}").replace('\'', '"');
-            say(d, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+            n.sayList(d, 8, "SERVING");
         }
     }
 
@@ -142,7 +136,7 @@
             dead.bind(UnixDomainSocketAddress.of(folder.resolve("hw")));
         }
         try (TestNode n = node()) {
-            settle(n);
+            n.settle();
             assertTrue(n.call("GET", "health").startsWith("HTTP/1.1 200"));
             try (TestNode young = node()) {
                 tellList(young);
@@ -155,7 +149,7 @@
     @Test
     void silentAndBrokenNeighboursAreSurvived() throws Exception {
         try (TestNode n = node()) {
-            settle(n);
+            n.settle();
             UnixDomainSocketAddress name = UnixDomainSocketAddress.of(folder.resolve("hw"));
             try (SocketChannel silent = SocketChannel.open(name)) {
                 silent.write(ByteBuffer.wrap(new byte[] {0, 0}));
