Send nothing at a start before the list service has answered or is out of reach

Cause: where the list service is asked a start told the module the list as last held and opened its door at once (`SocketHost.start`, `listen`: `waits` only where lists are pushed), and its first call was put off by up to a quarter of the time for asking (`Policy.fleet`, 2.5 s there). After an outage the pause between calls grew to 0.75 of that time (`Policy.fleetFailed`).

Change: `membership.Startup`, a state machine in core: pending until the list service has confirmed the list, out of reach after two refusals in a row or a time limit (4 s; 0.5 s for an agent), and then by the list as last held. `Membership` holds the list back from the module until then, which holds requests meanwhile; `/healthz` says no. The first call is the changes since the list as last held, spread over 5 ms for each scheduler; the whole list where none is held, or where the version went back. A quiet watch's empty line confirms too. Pauses between calls are at most 0.75 s, so that two calls fit before news counts. A follower in an upgrade asks for the changes as well, not for a whole list and a watch.

--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -30,6 +30,8 @@
     private static final double GAIN = 0.05; // of a sample in running means: some see one request a second
     private static final double STALE_GAIN = 0.3; // step to a longer report period: one odd one can't set it
     private static final double AGENT_GAP_US = 50_000; // what an agent hears when it is back counts at once
+    private static final double ASK_GAP_US = 500_000; // what a list service tells counts 6 s after its return
+    private static final double START_GAP_US = 5_000; // for each dispatcher, as all may start and ask at once
     private static final double RECHECK = 0.15; // mean jobs until a held job looks again: so slots free up
     private static final long LEAST_GAP_US = 20_000; // between looks at a worker, however many jobs come
     private static final double ABROAD = 0.1; // room abroad counts so much where crossing costs anything
@@ -116,7 +118,8 @@
         watchFailures = 0;
         if (!started && set.askForList) {
             // Spread by the seed: all dispatchers asking at once would make the list late for everyone.
-            host.timer(WATCH, (long) (uniform() * set.askWithinUs / 4));
+            double most = Math.min(set.askWithinUs / 4.0, START_GAP_US * (set.dispatchers - 1));
+            host.timer(WATCH, (long) (uniform() * most));
         }
         started = true;
         for (int i = 0; !delta && i < workers.size(); i++) workers.get(i).listed = false;
@@ -172,9 +175,8 @@
     /** Asks again, later each time: a list service out of reach is not helped by a stampede. */
     @Override public void fleetFailed(long now) {
         watching = false;
-        watchFailures = Math.min(watchFailures + 1, 10);
-        double most = set.askForList ? Math.max(set.askWithinUs / 2.0, 1e6) : AGENT_GAP_US;
-        host.timer(WATCH, (long) (Math.min(most, 125_000.0 * (1 << watchFailures)) * (0.5 + uniform())));
+        double most = set.askForList ? ASK_GAP_US : AGENT_GAP_US;
+        host.timer(WATCH, (long) (Math.min(most, 250_000.0 * ++watchFailures) * (0.5 + uniform())));
     }
 
     // ---- requests ----
@@ -491,12 +493,10 @@
             heard(w, now, slots(w) * Math.min(1, r.utilization));
         }
         double load = r.utilization >= 0 ? r.utilization : r.inHand;
-        if (load == w.load && r.free == w.free && load != Math.rint(load) && !(r.utilization > 1)) {
-            // The same noisy figures again: not refreshed in between, so reports are at least this old.
-            staleUs += Math.max(0, now - w.figureUs - staleUs) * STALE_GAIN;
-        } else {
-            w.figureUs = now;
-        }
+        // The same noisy figures again: not refreshed in between, so reports are at least this old.
+        boolean same = load == w.load && r.free == w.free && load != Math.rint(load) && !(r.utilization > 1);
+        if (same) staleUs += Math.max(0, now - w.figureUs - staleUs) * STALE_GAIN;
+        else w.figureUs = now;
         w.errors = r.errorsPerS > 0 ? r.errorsPerS * serviceUs / 1e6 / slots(w) : 0;
         w.load = load;
         w.free = r.free;
--- a/core/src/test/java/hookweir/TimersInStepTest.java
+++ b/core/src/test/java/hookweir/TimersInStepTest.java
@@ -26,6 +26,7 @@
         s.probes = true;
         s.askForList = true;
         s.askWithinUs = 4_000_000;
+        s.dispatchers = DISPATCHERS;
         List<RecordingHost> hosts = new ArrayList<>();
         Contract.Worker[] fleet = new Contract.Worker[WORKERS];
         for (int w = 0; w < WORKERS; w++) {
--- a/node/src/main/java/hookweir/Rehearsal.java
+++ b/node/src/main/java/hookweir/Rehearsal.java
@@ -20,6 +20,7 @@
  */
 final class Rehearsal {
     private static final int CLIENT_TIMEOUT_MS = 10_000;
+    private static final int POLL_MS = 20;
 
     private Rehearsal() {
     }
@@ -49,7 +50,7 @@
             }
         });
         loop.start();
-        boolean right = ask(port, "GET /healthz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").startsWith("HTTP/1.1 200");
+        boolean right = becomesReady(port);
         // Sent on to this same scheduler, the id is there already, so the only worker fails it.
         right &= ask(port, post("/api/1", "Req-Id: 1\r\nReq-Kind: k\r\nReq-Deadline-Ms: 1000\r\n", "work")).startsWith("HTTP/1.1 429");
         right &= ask(port, post("/callback", "", "{\"id\":\"2\",\"from\":\"w\",\"state\":\"done\",\"result\":\"\"}")).startsWith("HTTP/1.1 204");
@@ -60,6 +61,17 @@
         return right;
     }
 
+    /** Its list service, which is itself, knows no list: it is ready once it has given up on that. */
+    private static boolean becomesReady(int port) throws IOException, InterruptedException {
+        for (int i = 0; i < CLIENT_TIMEOUT_MS / POLL_MS; i++) {
+            if (ask(port, "GET /healthz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").startsWith("HTTP/1.1 200")) {
+                return true;
+            }
+            Thread.sleep(POLL_MS);
+        }
+        return false;
+    }
+
     private static String config(String self) {
         return ("{'name':'rehearsal','listen':'" + self + "','admin_addr':'127.0.0.1:0','discovery':'" + self + "','seed':'1','known':{'version':1,'full':true,"
             + "'servers':[{'id':'s-1','addr':'" + self + "','zone':'z','kind':'m','cell':0,'state':'SERVING','weight':1,'started_ms':0}]},"
--- /dev/null
+++ b/node/src/main/java/hookweir/net/Membership.java
@@ -0,0 +1,153 @@
+package hookweir.net;
+
+import hookweir.Contract;
+import hookweir.config.Config;
+import hookweir.config.SettingsMapping;
+import hookweir.membership.CallFailure;
+import hookweir.membership.Startup;
+import hookweir.net.discovery.Discovery;
+import hookweir.net.discovery.ListUpdate;
+import hookweir.net.egress.Egress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The list of workers as this process has it: reads it from the list service and passes it on to the decision module and to the
+ * connections to workers. Until {@link Startup} lets it send, the module knows of no worker and holds what comes. Belongs to the
+ * {@link Loop}.
+ */
+final class Membership implements Discovery.Listener {
+    /**
+     * How long a start waits for a list service that is asked and neither answers nor refuses, in µs. A start has to be ready within
+     * 6 s, of which the process itself takes 1 to 2.
+     */
+    private static final long ASKED_LIMIT_US = 4_000_000;
+    /** The same for an agent on this machine, which answers at once or is silent while it has nobody to ask itself. */
+    private static final long AGENT_LIMIT_US = 500_000;
+
+    private final Loop loop;
+    private final Invariants invariants;
+    private final Egress egress;
+    private final Contract.Dispatcher module;
+    private final Runnable onReady;
+    private final ListUpdate.Parser parser;
+    private final Discovery discovery;
+    private final Startup startup = new Startup();
+    /** What is passed on as the start ends: the list as last held, and what came before the whole list, where that is waited for. */
+    private final List<ListUpdate> held = new ArrayList<>();
+    private boolean pushed;
+
+    /**
+     * @param onReady runs once, as requests may be sent from then on
+     */
+    Membership(Config config, Loop loop, Dialer dialer, Invariants invariants, Egress egress, Contract.Dispatcher module,
+            Runnable onReady) {
+        this.loop = loop;
+        this.invariants = invariants;
+        this.egress = egress;
+        this.module = module;
+        this.onReady = onReady;
+        adopt(config.settings());
+        parser = new ListUpdate.Parser(config.settings().zones, config.settings().kinds, invariants, loop::nowUs);
+        discovery = new Discovery(loop, dialer, config.discovery(), parser, invariants, () -> pushed, this);
+    }
+
+    /** Takes over what the settings say of the list. */
+    void adopt(SettingsMapping mapped) {
+        pushed = !mapped.settings.askForList;
+    }
+
+    /** Begins with the list as last held, by which nothing is sent yet, and asks for the present one. */
+    void start(Config config) {
+        ListUpdate known = config.known() == null ? null : parser.parse(config.known());
+        boolean usable = known != null && !known.entries().isEmpty();
+        held.add(new ListUpdate(0, true, usable ? known.entries() : List.of()));
+        // Where nothing is held, changes to it would be no list.
+        discovery.seeded(pushed || !usable ? Discovery.UNKNOWN : known.version());
+        module.fleet(loop.nowUs(), false, List.of());
+        if (pushed) {
+            discovery.watch(true);
+        }
+        loop.after(pushed ? AGENT_LIMIT_US : ASKED_LIMIT_US, () -> {
+            startup.timeLimitReached();
+            endStart();
+        });
+    }
+
+    /** Goes over to another address of the list service. */
+    void move(InetSocketAddress to) {
+        discovery.move(to);
+    }
+
+    /** Starts or ends the watch. */
+    void watch(boolean on) {
+        discovery.watch(on);
+    }
+
+    /** Asks for the whole list once. */
+    void fetch() {
+        discovery.fetch();
+    }
+
+    @Override
+    public void listed(ListUpdate update, boolean complete) {
+        if (startup.isPending()) {
+            if (update.full()) {
+                held.clear();
+            }
+            held.add(update);
+        } else {
+            tell(update);
+        }
+        if (complete) {
+            upToDate();
+        }
+    }
+
+    @Override
+    public void upToDate() {
+        startup.confirmed();
+        endStart();
+    }
+
+    @Override
+    public void listFailed(CallFailure failure) {
+        invariants.count("list calls failed " + failure);
+        startup.callFailed(failure);
+        endStart();
+        loop.post(() -> module.fleetFailed(loop.nowUs()));
+    }
+
+    /** Passes on what was held back, where the start has come to its end. */
+    private void endStart() {
+        if (startup.isPending() || held.isEmpty()) {
+            return;
+        }
+        if (startup.phase() == Startup.Phase.CACHED) {
+            invariants.count("starts by the list as last held");
+            Log.line("the list service can't be reached: serving by the list as last held");
+        }
+        List<ListUpdate> updates = List.copyOf(held);
+        held.clear();
+        updates.forEach(this::tell);
+        onReady.run();
+    }
+
+    private void tell(ListUpdate update) {
+        invariants.count("list updates");
+        List<Contract.Worker> workers = new ArrayList<>();
+        Set<Integer> named = new HashSet<>();
+        for (ListUpdate.Entry entry : update.entries()) {
+            workers.add(entry.worker());
+            named.add(entry.worker().id);
+            egress.told(entry.worker().id, entry.name(), entry.address(), entry.worker().state);
+        }
+        if (update.full()) {
+            egress.keepOnly(named);
+        }
+        module.fleet(loop.nowUs(), !update.full(), workers);
+    }
+}
--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -8,8 +8,6 @@
 import hookweir.config.SettingsMapping;
 import hookweir.net.admin.Figures;
 import hookweir.net.admin.Standing;
-import hookweir.net.discovery.Discovery;
-import hookweir.net.discovery.ListUpdate;
 import hookweir.net.egress.Egress;
 import hookweir.net.egress.EgressTarget;
 import hookweir.net.egress.LoadReport;
@@ -22,9 +20,7 @@
 import hookweir.net.upgrade.Wire;
 import hookweir.room.Room;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -35,7 +31,7 @@
  * The module's host, on the sockets. Owns the module and every exchange; all of it runs on the {@link Loop}.
  * The module is never entered from inside one of its own calls: what a call leads to is posted.
  */
-public final class SocketHost implements Contract.Host, Ingress.Handler, Discovery.Listener, Succession.Listener {
+public final class SocketHost implements Contract.Host, Ingress.Handler, Succession.Listener {
     private static final byte[] NOTHING = new byte[0];
     /** Beside clients and links: the JVM's own, operators', discovery's, neighbours', and those not yet seen. */
     private static final int OWN_DESCRIPTORS = 48;
@@ -46,10 +42,6 @@
     private static final int MOST_TAKEN = 4096;
     /** SIGKILL comes no sooner than 3.7 s after SIGTERM; what can still be tried elsewhere is let go before. */
     private static final long LET_GO_AFTER_US = 3_500_000;
-    /** A process that follows another opens its door by then, with the list as last held if need be. */
-    private static final long LIST_WAIT_US = 3_000_000;
-    /** An agent that has not answered by then has nobody to ask itself. */
-    private static final long AGENT_WAIT_US = 500_000;
     private static final int LEAST_SHARE = 16;
     private static final long EXIT_AFTER_US = 900_000;
     private static final long EXIT_POLL_US = 50_000;
@@ -66,12 +58,11 @@
     private final Room room;
     private final Ingress ingress;
     private final Egress egress;
-    private final Discovery discovery;
+    private final Membership membership;
     private final Succession succession;
     private final int sockets;
     private long heldBytes;
     private int heldJobs;
-    private final ListUpdate.Parser listParser;
     private ExchangeParser exchangeParser;
     private LoadReport loadReport;
     private final Map<Integer, Exchange> exchanges = new HashMap<>();
@@ -82,8 +73,6 @@
     private boolean draining;
     /** This process follows one that serves. */
     private boolean follows;
-    /** It opens its door once it has the present list. */
-    private boolean waits;
     /** A later process has taken over the clients. */
     private boolean retired;
 
@@ -101,68 +90,53 @@
         Dialer dialer = new Dialer(loop, transport);
         ingress = new Ingress(loop, transport, invariants, room, this::links, this);
         egress = new Egress(loop, dialer, invariants, config.settings().dialTimeoutUs, config.settings().connIdleUs, room, ingress::size);
-        listParser = new ListUpdate.Parser(config.settings().zones, config.settings().kinds, invariants, loop::nowUs);
-        discovery = new Discovery(loop, dialer, config.discovery(), listParser, invariants, this::isPushed, this);
         module = new Policy(settings, config.seed(), this);
+        membership = new Membership(config, loop, dialer, invariants, egress, module, this::ready);
         succession = new Succession(loop, invariants, config.meeting(), this);
         share();
     }
 
-    /** Seeds the module with the list as last held; from then on the scheduler is ready. On the loop. */
+    /** Begins to learn of the workers. On the loop. */
     public void start(Config config) {
-        ListUpdate known = config.known() == null ? null : listParser.parse(config.known());
-        if (known == null) {
-            known = new ListUpdate(0, true, List.of());
-        }
-        discovery.seeded(isPushed() ? Discovery.UNKNOWN : known.version());
-        told(new ListUpdate(known.version(), true, known.entries()));
+        membership.start(config);
         egress.start();
-        if (isPushed()) {
-            discovery.watch(true); // begins with the whole list
-        } else if (waits) {
-            discovery.fetch();
-        }
-        if (waits) {
-            loop.after(follows ? LIST_WAIT_US : AGENT_WAIT_US, this::open);
-        } else {
-            succession.serves();
-        }
         loop.after(LOG_EVERY_US, this::report);
+        publishRegularly();
+    }
+
+    private void publishRegularly() {
         publish();
+        loop.after(PUBLISH_EVERY_US, this::publishRegularly);
     }
 
     /** The module is asked here, so that no operator waits for the loop. */
     private void publish() {
         figures.held(room.bytes(), room.mostBytes(), room.jobs(), room.mostJobs());
         figures.targets(egress.targets(), module.avoided(loop.nowUs()));
-        loop.after(PUBLISH_EVERY_US, this::publish);
     }
 
     /**
-     * Takes the clients' address; the port that it got. Where a process of this scheduler serves already, the door is
-     * shut until {@link #open}. Before the loop runs.
+     * Takes the clients' address; the port that it got. Where a process of this scheduler serves already, nobody is accepted until
+     * this one is {@link #ready}. Before the loop runs.
      */
     public int listen(Config config) throws IOException {
         int port = ingress.listen(config.listen(), config.inherited());
         follows = succession.follow();
-        // The list as last held may be old: where this process is not yet missed, or the present one is told already, it comes first.
-        waits = follows || isPushed();
-        if (waits) {
+        if (follows) {
             ingress.accepts(false);
-        } else {
-            standing.serves();
         }
         return port;
     }
 
-    private void open() {
-        if (waits) {
-            waits = false;
+    /** The workers are known as well as they can be: requests are sent on from now on. */
+    private void ready() {
+        if (follows) {
             ingress.accepts(true);
-            standing.serves();
-            succession.serves();
-            Log.line(follows ? "took over" : "open");
         }
+        publish();
+        standing.serves();
+        succession.serves();
+        Log.line(follows ? "took over" : "ready");
     }
 
     /** Ends what no connection's end does. */
@@ -214,34 +188,6 @@
         loop.after(LOG_EVERY_US, this::report);
     }
 
-    // ---- the list ----
-
-    @Override
-    public void listed(ListUpdate update) {
-        told(update);
-        open();
-    }
-
-    private void told(ListUpdate update) {
-        invariants.count("list updates");
-        List<Contract.Worker> workers = new ArrayList<>();
-        Set<Integer> named = new HashSet<>();
-        for (ListUpdate.Entry e : update.entries()) {
-            workers.add(e.worker());
-            named.add(e.worker().id);
-            egress.told(e.worker().id, e.name(), e.address(), e.worker().state);
-        }
-        if (update.full()) {
-            egress.keepOnly(named);
-        }
-        module.fleet(loop.nowUs(), !update.full(), workers);
-    }
-
-    @Override
-    public void listFailed() {
-        loop.post(() -> module.fleetFailed(loop.nowUs()));
-    }
-
     /** All that the settings decide here. */
     private void adopt(SettingsMapping mapped) {
         settings = mapped.settings;
@@ -263,8 +209,9 @@
         heldJobs = next.heldJobs();
         share();
         egress.limits(next.settings().dialTimeoutUs, next.settings().connIdleUs);
+        membership.adopt(next.settings());
         module.retune(loop.nowUs(), settings);
-        discovery.move(next.discovery());
+        membership.move(next.discovery());
         invariants.count("reloads");
         figures.reloaded(true);
         Log.line("reloaded: discovery " + next.discovery() + ", classes " + next.settings().classNumbers + ", at most "
@@ -273,11 +220,6 @@
 
     // ---- requests ----
 
-    /** The list lies with an agent on this machine, and counts as told whether it was read or not. */
-    private boolean isPushed() {
-        return !settings.askForList;
-    }
-
     private int links() {
         return egress == null ? 0 : egress.size();
     }
@@ -592,12 +534,12 @@
 
     @Override
     public void watchList(boolean on) {
-        discovery.watch(on);
+        membership.watch(on);
     }
 
     @Override
     public void fetchList() {
-        discovery.fetch();
+        membership.fetch();
     }
 
     @Override
--- a/node/src/test/java/hookweir/net/PushedListTest.java
+++ b/node/src/test/java/hookweir/net/PushedListTest.java
@@ -15,7 +15,7 @@
         try (TestNode n = TestNode.pushed()) {
             try (Socket agent = n.watched()) {
                 line(agent, "{'version':8,'full':false,'servers':[" + n.entry("DRAINING") + "]}");
-                n.awaitCount("list updates", 3);
+                n.awaitCount("list updates", 2);
                 // Its only worker drains: the job is not sent there, and is answered.
                 String answer = n.ask(TestNode.post("/api", "Req-Id: p1\r\nReq-Kind: render\r\nReq-Deadline-Ms: 50\r\n", "work"));
                 assertTrue(answer.startsWith("HTTP/1.1 429"), answer);
@@ -29,7 +29,7 @@
         try (TestNode n = TestNode.pushed()) {
             try (Socket agent = n.watched()) {
                 line(agent, "{'version':9,'full':true,'servers':[" + n.entry("SERVING") + "]}");
-                n.awaitCount("list updates", 3);
+                n.awaitCount("list updates", 2);
             }
             try (Socket agent = n.list.accept()) {
                 assertTrue(hear(agent).startsWith("GET /v1/servers?watch=1&after=9 HTTP/1.1\r\n"));
