Test the pauses between list calls and the spread of 120 starts

Pauses stay at or under 0.75 s after any number of failures, a scheduler that is alone asks at once, and of 120 that start in one instant no 50 ms bring a fifth of the calls and the last comes within 0.6 s.

--- /dev/null
+++ b/core/src/test/java/hookweir/ListCallsTest.java
@@ -0,0 +1,68 @@
+package hookweir;
+
+import static hookweir.RecordingHost.settings;
+import static hookweir.RecordingHost.worker;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import hookweir.Contract.Effect;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** When the list service is called: soon enough for its news, and not by all schedulers at once. */
+final class ListCallsTest {
+    private static final int DISPATCHERS = 120;
+    private static final long STEP_US = 5_000;
+    /** Two calls have to fit between the list service's return and its news counting as told. */
+    private static final long LONGEST_PAUSE_US = 750_000;
+
+    private static Contract.Settings asked(int dispatchers) {
+        Contract.Settings s = settings(Effect.SAFE);
+        s.askForList = true;
+        s.askWithinUs = 10_000_000;
+        s.dispatchers = dispatchers;
+        return s;
+    }
+
+    @Test
+    void pausesStayShortAfterAnyNumberOfFailures() {
+        RecordingHost h = RecordingHost.with(asked(1), 8);
+        h.fleet(worker(1));
+        h.pass(STEP_US);
+        for (int failures = 1; failures <= 100; failures++) {
+            h.policy.fleetFailed(h.now);
+            h.pass(LONGEST_PAUSE_US / 6 - STEP_US);
+            assertEquals(failures, h.count("watch true"), "not at once");
+            h.pass(LONGEST_PAUSE_US * 5 / 6 + 2 * STEP_US);
+            assertEquals(failures + 1, h.count("watch true"), "after " + failures + " failures");
+        }
+    }
+
+    @Test
+    void oneThatIsAloneAsksAtOnce() {
+        RecordingHost h = RecordingHost.with(asked(1), 8);
+        h.fleet();
+        h.pass(STEP_US);
+        assertEquals(1, h.count("watch true"));
+    }
+
+    /** The list service answers calls in turn: of 120 that start in one instant no 50 ms bring a fifth, and none waits for 0.6 s. */
+    @Test
+    void firstCallsOfAllThatStartAtOnceAreSpread() {
+        List<RecordingHost> hosts = new ArrayList<>();
+        for (int i = 0; i < DISPATCHERS; i++) {
+            RecordingHost h = RecordingHost.with(asked(DISPATCHERS), 100 + i);
+            h.fleet();
+            hosts.add(h);
+        }
+        long before = 0;
+        for (int window = 0; window < 12; window++) {
+            hosts.forEach(h -> h.pass(50_000));
+            long asked = hosts.stream().filter(h -> h.count("watch true") > 0).count();
+            assertTrue(asked - before < DISPATCHERS / 5, asked - before + " calls within 50 ms");
+            before = asked;
+        }
+        assertEquals(DISPATCHERS, before);
+    }
+}
