Hear what lies unread before an attempt, a check or a dial that had to wait begins

A job that waited for a link (one that settles, a free descriptor) or was repeated went out before the news that lay unread in the same round of I/O: a client's end, or a list that says that the worker leaves. The wait's end now comes after a whole round of I/O, and the call is asked once more whether it still wants a link (Link.Handler.wantsLink), so that nobody dials a worker that is gone or for a client that left. Checks of workers that leave, whose connection comes up late, are not made.

--- a/node/src/main/java/hookweir/net/Errand.java
+++ b/node/src/main/java/hookweir/net/Errand.java
@@ -13,6 +13,8 @@
 abstract class Errand implements Link.Handler {
     private static final byte[] NOTHING = new byte[0];
     private static final int OK = 200;
+    /** The method of a check; a notice has another. */
+    private static final String CHECK = "GET";
     /** An answer later than the limit is read to keep the link, for so many limits. */
     private static final int PATIENCE_LIMITS = 4;
 
@@ -65,6 +67,16 @@
         egress.link(target, this, links);
     }
 
+    /** A check of a worker that was announced as leaving, or one that nobody waits for any more, is not made; a notice is. */
+    @Override
+    public boolean wantsLink() {
+        if (!method.equals(CHECK) || !over && target.ready()) {
+            return true;
+        }
+        end(Outcome.CONNECT_FAILED, null);
+        return false;
+    }
+
     @Override
     public void noLink() {
         end(Outcome.CONNECT_FAILED, null);
@@ -80,6 +92,10 @@
 
     @Override
     public void up(Link l) {
+        if (!wantsLink()) {
+            egress.release(target, l, true);
+            return;
+        }
         stage = Stage.SENDING;
         l.call(l.head(method, path, null, target.host()), NOTHING, this);
         patience = loop.after(PATIENCE_LIMITS * limitUs, () -> {
--- a/node/src/main/java/hookweir/net/Hop.java
+++ b/node/src/main/java/hookweir/net/Hop.java
@@ -51,12 +51,38 @@
     /** Sends it; stops waiting after so long. */
     void start(long withinUs) {
         limit = host.loop().after(withinUs, () -> giveUp(Outcome.TIMEOUT));
+        if (number == 0) {
+            takeLink();
+        } else {
+            // What lies unread is heard before a further attempt: its client may have left, or its worker been announced as leaving.
+            host.loop().afterRound(() -> {
+                if (wantsLink()) {
+                    takeLink();
+                }
+            });
+        }
+    }
+
+    private void takeLink() {
         Link got = egress.link(target, this, host.repeatable(exchange) ? SOME_BREAKS : FEW_BREAKS);
         if (got != null && !over()) {
             link = got;
         }
     }
 
+    /** Nothing of it was sent, and it may still be: else it is over. */
+    @Override
+    public boolean wantsLink() {
+        if (stage == Stage.DIALLING && !target.ready()) {
+            // Guards rule 3: a drain counts from a send's first byte, and the wait for a link took its time.
+            over(Outcome.CONNECT_FAILED, null, null);
+        } else if (stage == Stage.DIALLING && exchange.closed) {
+            // Its client left meanwhile: where attempts can't be called off, none is begun any more.
+            over(Outcome.MOOT, null, null);
+        }
+        return stage == Stage.DIALLING;
+    }
+
     @Override
     public void noLink() {
         over(Outcome.CONNECT_FAILED, null, null);
@@ -79,22 +105,10 @@
     @Override
     public void up(Link up) {
         link = up;
-        if (stage != Stage.DIALLING) {
+        if (!wantsLink()) {
             egress.release(target, up, true);
             return;
         }
-        // Guards rule 3: a drain counts from a send's first byte, and the dial took its time.
-        if (!target.ready()) {
-            egress.release(target, up, true);
-            over(Outcome.CONNECT_FAILED, null, null);
-            return;
-        }
-        if (exchange.closed) {
-            // Its client left while the connection came up: where attempts can't be called off, none is begun any more.
-            egress.release(target, up, true);
-            over(Outcome.MOOT, null, null);
-            return;
-        }
         stage = Stage.SENDING;
         var from = exchange.from;
         var h = from.headers();
--- a/node/src/main/java/hookweir/net/Link.java
+++ b/node/src/main/java/hookweir/net/Link.java
@@ -18,6 +18,11 @@
 public final class Link {
     /** What becomes of a dial or a call. */
     public interface Handler {
+        /** Asked after a wait for a link, before one is used or dialled; where it is false nothing follows. */
+        default boolean wantsLink() {
+            return true;
+        }
+
         /** The dial succeeded; nothing has been sent. */
         default void up(Link link) {
         }
@@ -116,10 +121,17 @@
             connection = c;
             phase = Phase.UP;
             dialLimit.cancel();
-            handler.up(this);
+            // What lies unread is heard before anything is sent: a client may have left, or a worker been announced as leaving.
+            loop.afterRound(this::tellUp);
         });
     }
 
+    private void tellUp() {
+        if (phase == Phase.UP) {
+            handler.up(this);
+        }
+    }
+
     /** From the selector: the dial failed or the connection ended. */
     void ended() {
         loop.post(this::fallDown);
--- a/node/src/main/java/hookweir/net/egress/Egress.java
+++ b/node/src/main/java/hookweir/net/egress/Egress.java
@@ -167,10 +167,11 @@
             // At no cost to the worker, unlike a dial. Each waits for one of its own: who finds none dials.
             Link own = settling;
             own.reserved = true;
-            loop.after(own.settledUs - now, () -> {
+            // After a whole round of I/O, so that news that lies unread as the link settles is heard first.
+            loop.after(own.settledUs - now, () -> loop.afterRound(() -> {
                 own.reserved = false;
-                link(target, handler, mostBreaks);
-            });
+                linkAfterWait(target, handler, mostBreaks);
+            }));
             return null;
         }
         if (!room.mayDial(open.size(), accepted.getAsInt()) && !evict()) {
@@ -190,6 +191,15 @@
         return link;
     }
 
+    /** Gets a link for a call that had to wait for one, unless it is over by now or its worker leaves. */
+    private void linkAfterWait(EgressTarget target, Link.Handler handler, double mostBreaks) {
+        if (handler.wantsLink()) {
+            link(target, handler, mostBreaks);
+        } else {
+            freed(); // the place that it was given goes to the next that waits
+        }
+    }
+
     private static Link reused(Link link, Link.Handler handler) {
         link.kept = true;
         link.rest(handler);
@@ -207,7 +217,7 @@
             if (!w.target.idle.isEmpty()) {
                 waiting.remove(w);
                 w.limit.cancel();
-                link(w.target, w.handler, w.mostBreaks);
+                linkAfterWait(w.target, w.handler, w.mostBreaks);
             }
         }
         for (Waiter w = waiting.peek(); w != null; w = waiting.peek()) {
@@ -216,7 +226,7 @@
             }
             waiting.remove();
             w.limit.cancel();
-            link(w.target, w.handler, w.mostBreaks);
+            linkAfterWait(w.target, w.handler, w.mostBreaks);
         }
     }
 
--- /dev/null
+++ b/node/src/test/java/hookweir/net/DepartedClientsTest.java
@@ -0,0 +1,171 @@
+package hookweir.net;
+
+import static hookweir.net.HeldLoop.afterReading;
+import static hookweir.net.HeldLoop.many;
+import static hookweir.net.HeldLoop.second;
+import static hookweir.net.HeldLoop.sentTo;
+import static hookweir.net.TestNode.TAKEN;
+import static hookweir.net.TestNode.hear;
+import static hookweir.net.TestNode.job;
+import static hookweir.net.TestNode.line;
+import static hookweir.net.TestNode.say;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** No attempt begins for a client that closed its connection, whatever the attempt waits for then. Clients are closed by hand. */
+@Timeout(60)
+final class DepartedClientsTest {
+    private static final String DECLINED = "HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
+    private static final int CLIENTS = 8;
+
+    private static void close(List<Socket> clients) throws Exception {
+        for (Socket client : clients) {
+            client.close();
+        }
+    }
+
+    /**
+     * Each connection is up before its client leaves, and both are seen in one round of I/O, in whatever order: of so many
+     * some would be sent.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aJobWhoseConnectionComesUpIsNotSent(boolean cancels) throws Exception {
+        List<Socket> clients = new ArrayList<>();
+        try (ServerSocket door = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+                TestNode n = cancels ? TestNode.pushed() : TestNode.withoutCancels();
+                Socket watch = cancels ? n.watched() : n.watchedFrom(7)) {
+            long updates = n.node.invariants().counted("list updates");
+            line(watch, "{'version':8,'full':true,'servers':[" + many(n, door, "SERVING", 9) + "]}");
+            n.awaitCount("list updates", updates + 1);
+            for (int i = 0; i < CLIENTS; i++) {
+                clients.add(n.connect());
+            }
+            n.settle();
+            CountDownLatch gate = afterReading(n, () -> {
+                for (Socket client : clients) {
+                    say(client, job("u" + clients.indexOf(client)));
+                }
+            });
+            assertEquals(CLIENTS, n.node.invariants().counted("egress dials"));
+            close(clients);
+            gate.countDown();
+            n.awaitCount("clients gone", CLIENTS);
+            n.rounds();
+            assertEquals("", sentTo(door, n));
+        }
+    }
+
+    /** It leaves while its job waits for a link that settles; in the second case that lies unread as the link has settled. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aJobThatWaitsForALinkToSettleIsNotSent(boolean seen) throws Exception {
+        try (TestNode n = TestNode.pushed(); Socket watch = n.watched(); Socket client = n.connect(); Socket leaves = n.connect()) {
+            n.freeze();
+            say(client, job("s1"));
+            try (Socket kept = n.worker.accept()) {
+                hear(kept);
+                say(kept, TAKEN);
+                n.tell("s1", "s-01", "done");
+                hear(client);
+                say(leaves, job("s2"));
+                n.awaitCount("exchanges", 2);
+                n.rounds();
+                CountDownLatch gate = seen ? new CountDownLatch(1) : n.deaf();
+                leaves.close();
+                if (seen) {
+                    n.awaitCount("clients gone", 1);
+                }
+                n.goOn(200_000);
+                gate.countDown();
+                n.awaitCount("clients gone", 1);
+                n.rounds();
+                assertEquals(1, n.node.invariants().counted("egress dials"));
+                assertEquals("", HeldLoop.sentOn(kept, n));
+            }
+            assertFalse(watch.isClosed());
+        }
+    }
+
+    /** Its job was declined and is held for a repeat; in the second case its end lies unread as the repeat is due. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aJobThatIsHeldAfterARefusalIsNotRepeated(boolean seen) throws Exception {
+        try (ServerSocket door = new ServerSocket(0, 5, InetAddress.getLoopbackAddress()); TestNode n = TestNode.pushed();
+                Socket watch = n.watched(); Socket client = n.connect(); Socket leaves = n.connect()) {
+            line(watch, "{'version':8,'full':true,'servers':[" + second(n, door, "SERVING") + "]}");
+            n.awaitCount("list updates", 3);
+            say(client, job("r1"));
+            try (Socket kept = door.accept()) {
+                hear(kept);
+                say(kept, TAKEN);
+                n.tell("r1", "s-02", "done");
+                hear(client);
+                n.goOn(100_000); // a kept link that has settled: a job could be sent at once
+                line(watch, "{'version':9,'full':false,'servers':[" + second(n, door, "DRAINING") + "," + n.entry("SERVING") + "]}");
+                n.awaitCount("list updates", 4);
+                say(leaves, job("r2"));
+                try (Socket first = n.worker.accept()) {
+                    hear(first);
+                    n.freeze();
+                    say(first, DECLINED);
+                    n.awaitCount("hops FULL", 1);
+                    n.rounds();
+                    line(watch, "{'version':10,'full':false,'servers':[" + second(n, door, "SERVING") + "]}");
+                    n.awaitCount("list updates", 5);
+                    n.rounds();
+                    CountDownLatch gate = seen ? new CountDownLatch(1) : n.deaf();
+                    leaves.close();
+                    if (seen) {
+                        n.awaitCount("clients gone", 1);
+                    }
+                    n.goOn(400_000);
+                    gate.countDown();
+                    n.awaitCount("clients gone", 1);
+                    n.rounds();
+                    assertEquals("", HeldLoop.sentOn(kept, n));
+                }
+            }
+        }
+    }
+
+    /** Its job waits for a connection, as all that there may be are dialled: none is sent for it, and none dialled. */
+    @Test
+    void aJobThatWaitsForAFreeConnectionIsNotSent() throws Exception {
+        List<Socket> clients = new ArrayList<>();
+        try (ServerSocket door = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+                TestNode n = new TestNode("read_like", 20_000_000, "'sockets':64"); Socket watch = n.watchedFrom(7)) {
+            line(watch, "{'version':8,'full':true,'servers':[" + many(n, door, "SERVING", 9) + "]}");
+            n.awaitCount("list updates", 2);
+            for (int i = 0; i < 9; i++) {
+                clients.add(n.connect());
+            }
+            n.rounds();
+            CountDownLatch gate = afterReading(n, () -> {
+                for (Socket client : clients) {
+                    say(client, job("w" + clients.indexOf(client)));
+                }
+            });
+            long dials = n.node.invariants().counted("egress dials");
+            assertTrue(dials < 9, "all found a descriptor");
+            close(clients);
+            gate.countDown();
+            n.awaitCount("clients gone", 9);
+            n.rounds();
+            assertEquals(dials, n.node.invariants().counted("egress dials"));
+            assertEquals("", sentTo(door, n));
+        }
+    }
+}
