--- a/node/src/test/java/hookweir/net/FleetSizeTest.java
+++ b/node/src/test/java/hookweir/net/FleetSizeTest.java
@@ -3,6 +3,7 @@
 import static hookweir.net.TestNode.hear;
 import static hookweir.net.TestNode.job;
 import static hookweir.net.TestNode.line;
+import static hookweir.net.TestNode.post;
 import static hookweir.net.TestNode.say;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -18,8 +19,11 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -143,4 +147,27 @@
             transport.stop();
         }
     }
+
+    /** All of so many workers call at once while the loop has other things to do: all wait in the backlog, and are answered. */
+    @Test
+    void callBacksOfSoManyWorkersAtOnceWaitInTheBacklog() throws Exception {
+        List<Socket> workers = new ArrayList<>();
+        try (TestNode n = new TestNode("read_like", 20_000_000, "'sockets':2048")) {
+            n.settle();
+            CountDownLatch gate = n.deaf();
+            for (int i = 0; i < WORKERS; i++) {
+                Socket worker = n.connect();
+                workers.add(worker);
+                say(worker, post("/callback", "", "{'id':'none','from':'s-01','state':'done'}".replace('\'', '"')));
+            }
+            gate.countDown();
+            for (Socket worker : workers) {
+                assertTrue(hear(worker).startsWith("HTTP/1.1 204"));
+            }
+        } finally {
+            for (Socket worker : workers) {
+                worker.close();
+            }
+        }
+    }
 }
