Open the door again where one that rests may make way for the next

Once shut, the door stayed shut at the cap until some connection closed by itself, though others rested: workers' call-backs waited in the kernel for up to 60 s. Ingress.fit opens it where a connection may be ended at little cost.

--- a/node/src/main/java/hookweir/net/ingress/Ingress.java
+++ b/node/src/main/java/hookweir/net/ingress/Ingress.java
@@ -423,7 +423,8 @@
         for (var victim = victim(); all.size() > most && victim.isPresent(); victim = victim()) {
             evict(victim.get());
         }
-        door.full(all.size() > most || all.size() == most && door.isFull());
+        // Once it is shut it opens where one may leave for the next: else those that rest would keep everybody out.
+        door.full(all.size() > most || all.size() == most && door.isFull() && cheapest().isEmpty());
     }
 
     /**
@@ -431,9 +432,10 @@
      * then wait in the kernel: clients with a job under way have their answers first.
      */
     private Optional<IngressConnection> victim() {
-        if (all.size() <= room.mostAccepted(links.getAsInt())) {
-            return Optional.empty();
-        }
+        return all.size() <= room.mostAccepted(links.getAsInt()) ? Optional.empty() : cheapest();
+    }
+
+    private Optional<IngressConnection> cheapest() {
         long now = loop.nowUs();
         IngressConnection best = null;
         int least = IngressConnection.YOUNG;
--- a/node/src/test/java/hookweir/net/FleetSizeTest.java
+++ b/node/src/test/java/hookweir/net/FleetSizeTest.java
@@ -1,5 +1,6 @@
 package hookweir.net;
 
+import static hookweir.net.TestNode.TAKEN;
 import static hookweir.net.TestNode.hear;
 import static hookweir.net.TestNode.job;
 import static hookweir.net.TestNode.line;
@@ -170,4 +171,30 @@
             }
         }
     }
+
+    /** Each of so many workers calls back on a connection of its own and keeps it, where there are fewer descriptors. */
+    @Test
+    void callBacksOfSoManyWorkersFindAConnectionInTheirTurn() throws Exception {
+        List<Socket> workers = new ArrayList<>();
+        try (TestNode n = new TestNode("read_like", 20_000_000, "'sockets':1024"); Socket client = n.connect()) {
+            say(client, job("c1"));
+            try (Socket link = n.worker.accept()) {
+                hear(link);
+                say(link, TAKEN);
+                String running = "{'id':'c1','from':'s-01','state':'running','share':0.5}".replace('\'', '"');
+                for (int i = 0; i < WORKERS; i++) {
+                    Socket worker = n.connect();
+                    workers.add(worker);
+                    say(worker, post("/callback", "", running));
+                    assertTrue(hear(worker).startsWith("HTTP/1.1 204"), "worker " + i);
+                }
+                n.tell("c1", "s-01", "done");
+                assertTrue(hear(client).startsWith("HTTP/1.1 200"));
+            }
+        } finally {
+            for (Socket worker : workers) {
+                worker.close();
+            }
+        }
+    }
 }
