Hear what lies unread before the module's timers

A job held before its first attempt went out, as its timer was due, before its client's end was read that lay in the kernel since the loop's pause began. SocketHost.timer waits for a round of I/O. DepartedClientsTest.aJobThatIsHeldBeforeItsFirstAttemptIsNotSent was red.

--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -579,7 +579,8 @@
 
     @Override
     public void timer(long token, long delayUs) {
-        loop.after(delayUs, () -> module.timer(loop.nowUs(), token));
+        // What lies unread is heard before a held job goes out: its client may have left, or a worker been announced as leaving.
+        loop.after(delayUs, () -> loop.afterRound(() -> module.timer(loop.nowUs(), token)));
     }
 
     @Override
--- a/node/src/test/java/hookweir/net/DepartedClientsTest.java
+++ b/node/src/test/java/hookweir/net/DepartedClientsTest.java
@@ -168,4 +168,34 @@
             assertEquals("", sentTo(door, n));
         }
     }
+
+    /** Its job is held as no worker serves; its end lies unread as the module's next try is due, and a kept link rests. */
+    @Test
+    void aJobThatIsHeldBeforeItsFirstAttemptIsNotSent() throws Exception {
+        try (TestNode n = TestNode.pushed(); Socket watch = n.watched(); Socket client = n.connect(); Socket leaves = n.connect()) {
+            say(client, job("h1"));
+            try (Socket kept = n.worker.accept()) {
+                hear(kept);
+                say(kept, TAKEN);
+                n.tell("h1", "s-01", "done");
+                hear(client);
+                n.goOn(100_000); // a kept link that has settled: a job could be sent at once
+                line(watch, "{'version':8,'full':false,'servers':[" + n.entry("DRAINING") + "]}");
+                n.awaitCount("list updates", 3);
+                n.freeze();
+                say(leaves, job("h2"));
+                n.awaitCount("exchanges", 2);
+                line(watch, "{'version':9,'full':false,'servers':[" + n.entry("SERVING") + "]}");
+                n.awaitCount("list updates", 4);
+                n.rounds();
+                CountDownLatch gate = n.deaf();
+                leaves.close();
+                n.goOn(400_000);
+                gate.countDown();
+                n.awaitCount("clients gone", 1);
+                n.rounds();
+                assertEquals("", HeldLoop.sentOn(kept, n));
+            }
+        }
+    }
 }
