--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -34,7 +34,7 @@
 public final class SocketHost implements Contract.Host, Ingress.Handler, Succession.Listener {
     private static final byte[] NOTHING = new byte[0];
     /** Beside clients and links: the JVM's own, operators', discovery's, those that linger, and those let in or ended in a round. */
-    private static final int OWN_DESCRIPTORS = 80;
+    private static final int OWN_DESCRIPTORS = 48;
     private static final int PROBE_DIAL_LIMITS = 2;
     private static final int TAKE_DIAL_LIMITS = 6;
     private static final long LOG_EVERY_US = 10_000_000;
