--- a/node/src/test/java/hookweir/net/LinksTest.java
+++ b/node/src/test/java/hookweir/net/LinksTest.java
@@ -14,6 +14,7 @@
 import hookweir.Contract;
 import hookweir.net.egress.Egress;
 import hookweir.room.Room;
+import java.io.IOException;
 import java.io.InputStream;
 import java.lang.management.ManagementFactory;
 import java.net.InetAddress;
@@ -206,7 +207,7 @@
         }
 
         @Override
-        public void close() throws Exception {
+        public void close() throws IOException {
             loop.post(loop::stop);
             transport.stop();
         }
@@ -258,7 +259,7 @@
         }
 
         @Override
-        public void close() throws Exception {
+        public void close() throws IOException {
             bare.close();
             door.close();
         }
