Split Ingress into ten package-private classes by job

RequestHandler was Ingress.Handler. Accepting several connections in one turn went to Door. Fields of IngressConnection have the usual names (pipelined, throttled, unparsed). All run on the one Loop as before, in the same order; counters' names are unchanged.

--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -16,6 +16,7 @@
 import hookweir.net.ingress.Ingress;
 import hookweir.net.ingress.IngressConnection;
 import hookweir.net.ingress.IngressRequest;
+import hookweir.net.ingress.RequestHandler;
 import hookweir.net.upgrade.Succession;
 import hookweir.net.upgrade.Wire;
 import hookweir.room.Room;
@@ -31,7 +32,7 @@
  * The module's host, on the sockets. Owns the module and every exchange; all of it runs on the {@link Loop}.
  * The module is never entered from inside one of its own calls: what a call leads to is posted.
  */
-public final class SocketHost implements Contract.Host, Ingress.Handler, Succession.Listener {
+public final class SocketHost implements Contract.Host, RequestHandler, Succession.Listener {
     private static final byte[] NOTHING = new byte[0];
     /** Beside clients and links: the JVM's own, operators', discovery's, neighbours', and those not yet seen. */
     private static final int OWN_DESCRIPTORS = 48;
@@ -230,20 +231,20 @@
     }
 
     @Override
-    public int numberOf(String kind) {
+    public int classNumber(String kind) {
         return exchangeParser.numberOf(kind);
     }
 
     @Override
-    public void turnedAway(String kind) {
-        int number = numberOf(kind);
+    public void rejected(String kind) {
+        int number = classNumber(kind);
         if (number >= 0) {
             figures.turnedAway(classNames.get(number));
         }
     }
 
     @Override
-    public String comeBack() {
+    public String retryAfter() {
         return settings.comeBackAdvice ? seconds(settings.maxComeBackUs) : null;
     }
 
@@ -313,7 +314,7 @@
         if (room.job(r.requestClass) == Room.Verdict.REFUSE) {
             invariants.count("exchanges refused for room");
             figures.turnedAway(classNames.get(r.requestClass));
-            ingress.answer(from, 429, comeBack(), NOTHING);
+            ingress.answer(from, 429, retryAfter(), NOTHING);
             return false;
         }
         if (r.tenant == ExchangeParser.NOBODY) {
@@ -324,7 +325,7 @@
         byName.put(request.headers().id(), x);
         invariants.count("exchanges");
         figures.taken();
-        ingress.onGone(from, () -> {
+        ingress.onDisconnect(from, () -> {
             x.closed = true;
             figures.abandoned();
             invariants.count("clients gone");
--- /dev/null
+++ b/node/src/main/java/hookweir/net/ingress/ConnectionCloser.java
@@ -0,0 +1,69 @@
+package hookweir.net.ingress;
+
+import hookweir.net.HalfClose;
+import hookweir.net.Invariants;
+import hookweir.net.Loop;
+import hookweir.net.Message;
+import hookweir.net.ingress.IngressConnection.Phase;
+import java.util.function.Supplier;
+
+/** Ends connections so that no answer is lost: an error response where one is due, then a lingering close. Belongs to the loop. */
+final class ConnectionCloser {
+    private static final byte[] NO_BODY = new byte[0];
+    private static final int TOO_MANY_REQUESTS = 429;
+
+    private final Loop loop;
+    private final Invariants invariants;
+    private final InputControl input;
+    private final ResponseWriter writer;
+    private final Supplier<String> retryAfter;
+
+    /**
+     * Closes connections that these parts read and write.
+     *
+     * @param retryAfter the Retry-After header's value for those that are told to come back, or null
+     */
+    ConnectionCloser(Loop loop, Invariants invariants, InputControl input, ResponseWriter writer, Supplier<String> retryAfter) {
+        this.loop = loop;
+        this.invariants = invariants;
+        this.input = input;
+        this.writer = writer;
+        this.retryAfter = retryAfter;
+    }
+
+    /** The connection's input can't be parsed: an error with this status ends it, after the answers to its earlier requests. */
+    void closeUnreadable(IngressConnection c, int status) {
+        invariants.count("ingress unreadable " + status);
+        c.errorStatus = status;
+        if (c.idle() && !c.closing()) {
+            closeWithError(c);
+        }
+    }
+
+    /** Answers with the connection's error status and ends the connection. */
+    void closeWithError(IngressConnection c) {
+        beginFinalResponse(c);
+        Message head = writer.head(c.errorStatus, 0, c.errorStatus == TOO_MANY_REQUESTS ? retryAfter.get() : null)
+            .header("Connection", "close");
+        writer.write(c, head, NO_BODY, () -> close(c));
+    }
+
+    /** The response that is written next is the connection's last one. */
+    void beginFinalResponse(IngressConnection c) {
+        c.enter(Phase.FINAL_RESPONSE);
+        input.updateReading(c);
+    }
+
+    /**
+     * Closes a connection whose client may still write: shuts its output and discards its input until the client's end or a
+     * time limit. A client that reads on sees the end at once, and its own end is seen here.
+     */
+    void close(IngressConnection c) {
+        if (c.enter(Phase.LINGERING) && HalfClose.shutOutput(c.connection)) {
+            input.discard(c, 0);
+            input.setUnparsed(c, null);
+            input.updateReading(c);
+            c.lingerLimit = loop.after(HalfClose.LINGER_US, c.connection::closeSilently);
+        }
+    }
+}
--- a/node/src/main/java/hookweir/net/ingress/Door.java
+++ b/node/src/main/java/hookweir/net/ingress/Door.java
@@ -22,7 +22,9 @@
     /** Clients are to be let in; there is no descriptor for another. All guarded by this. */
     private boolean wanted = true;
     private boolean full;
+    /** Connections accepted so far, and whether more are about to be: the loop's. */
     private long accepted;
+    private boolean acceptPosted;
 
     Door(Loop loop, TCPNIOBindingHandler binding, Invariants invariants) {
         this.loop = loop;
@@ -100,13 +102,20 @@
         return wanted && !full ? listener : null;
     }
 
-    /** From the selector: a connection was let in. */
+    /** Called on the selector for each accepted connection: more are accepted in the loop's next turn. */
     void accepted() {
         accepted++;
+        if (!acceptPosted) {
+            acceptPosted = true;
+            loop.post(() -> {
+                acceptMore();
+                acceptPosted = false;
+            });
+        }
     }
 
     /** Guards workers' calls against waiting one round of I/O for each client that stands before them in the backlog. */
-    void acceptMore() {
+    private void acceptMore() {
         for (int i = 0; i < MOST_ACCEPTS; i++) {
             TCPNIOServerConnection from = open();
             long before = accepted;
--- a/node/src/main/java/hookweir/net/ingress/IngressConnection.java
+++ b/node/src/main/java/hookweir/net/ingress/IngressConnection.java
@@ -11,11 +11,11 @@
     enum Phase {
         /** Requests are read and answered. */
         OPEN,
-        /** Nothing that comes in is looked at any more; what was taken is still answered. */
-        DEAF,
-        /** Its last answer is being written, and nothing follows that one. */
-        LAST_WORD,
-        /** Its output is shut. What comes in is dropped, until the client's end or a bound. */
+        /** Further input is discarded; the requests that were read are still answered. */
+        IGNORING_INPUT,
+        /** Its last response is being written. */
+        FINAL_RESPONSE,
+        /** Its output is shut. Input is discarded until the client's end or a time limit. */
         LINGERING,
         /** It is gone. */
         CLOSED
@@ -37,41 +37,45 @@
     /** The request being answered, or null. */
     IngressRequest current;
     /** Requests that a client sent ahead of its answers. */
-    final Deque<IngressRequest> ahead = new ArrayDeque<>();
-    /** Runs if the client leaves before its answer. */
-    Runnable onGone;
+    final Deque<IngressRequest> pipelined = new ArrayDeque<>();
+    /** Runs if the client disconnects before its answer. */
+    Runnable onDisconnect;
     long lastUsedUs;
     /** It brought a whole request once. */
     boolean proven;
     boolean carriesCallbacks;
     boolean carriesJobs;
     private Phase phase = Phase.OPEN;
-    /** Requests in a row that were no good; whether reading pauses for them; whether it pauses at all. */
-    int errors;
-    boolean penance;
-    boolean held;
-    /** What can't be read came after the requests held: this is the status to end with, or 0. */
-    int fault;
+    /** Bad requests in a row. */
+    int badRequests;
+    /** No request is parsed for a while, as there were too many bad ones. */
+    boolean throttled;
+    /** Reading is off, as the connection is throttled or a body waits for room. */
+    boolean readingPaused;
+    /** The status that ends the connection after the pending answers, as further input can't be parsed; or 0. */
+    int errorStatus;
 
     final Framing framing = new Framing();
-    /** When the message that is coming in began; 0 between messages. */
-    long insideSinceUs;
-    /** So much room is counted for the body that is coming in, and whether it is a worker's call. */
-    int reserved;
+    /** When the request that was read in part began; 0 between requests. */
+    long partialSinceUs;
+    /** Room reserved for the body that is being read. */
+    int reservedBytes;
+    /** The body being read is that of a worker's call-back. */
     boolean callback;
     /** Since when a body waits for room; 0 while none does. */
-    long waitsSinceUs;
-    /** What was read and can't be looked at yet, or null. */
-    byte[] rest;
-    /** Bytes written that the peer has not taken, and since when it takes none. */
-    int unread;
-    long unreadSinceUs;
-    /** Bytes that came in and were not looked at. */
-    int dropped;
-    /** Reading rests, as its sender sends for nothing. */
-    boolean stalled;
-    /** The bound of a lingering close. */
-    TimerWheel.Timer linger;
+    long waitingSinceUs;
+    /** Input that was read and can't be parsed yet, or null. */
+    byte[] unparsed;
+    /** Bytes of responses that the client has not taken. */
+    int unwrittenBytes;
+    /** Since when the client has taken none of them; 0 where there are none. */
+    long unwrittenSinceUs;
+    /** Bytes discarded since the last pause. */
+    int discardedBytes;
+    /** Reading is off for a while, as too much was discarded. */
+    boolean discardPaused;
+    /** The time limit of a lingering close. */
+    TimerWheel.Timer lingerLimit;
 
     IngressConnection(Connection<?> connection, long openedUs) {
         this.connection = connection;
@@ -90,11 +94,11 @@
 
     /** It can take no further answer. */
     boolean closing() {
-        return phase.compareTo(Phase.LAST_WORD) >= 0;
+        return phase.compareTo(Phase.FINAL_RESPONSE) >= 0;
     }
 
-    /** Nothing that comes in is looked at. */
-    boolean deaf() {
+    /** Further input is discarded. */
+    boolean ignoresInput() {
         return phase != Phase.OPEN;
     }
 
@@ -108,17 +112,16 @@
      * less than a young one: a new connection for each job is what some good clients use, and some write it for 2 s.
      */
     int cost(long now) {
-        long inside = insideSinceUs;
-        if (ended() || closing() && unreadSinceUs != 0 && now - unreadSinceUs > RECENT_US) {
-            return 0; // it had its last word, or does not take it
+        if (ended() || closing() && unwrittenSinceUs != 0 && now - unwrittenSinceUs > RECENT_US) {
+            return 0; // it had its last response, or does not take it
         } else if (closing()) {
             return NEEDED;
         } else if (!idle()) {
             return NEEDED;
-        } else if (waitsSinceUs != 0) {
+        } else if (waitingSinceUs != 0) {
             return NEEDED; // it is not its client that is slow
-        } else if (inside != 0) {
-            return now - inside > WRITTEN_US ? 3 : WRITES;
+        } else if (partialSinceUs != 0) {
+            return now - partialSinceUs > WRITTEN_US ? 3 : WRITES;
         } else if (!proven) {
             return now - openedUs > DUE_US ? 1 : YOUNG;
         }
@@ -140,16 +143,16 @@
 
     /** Nothing comes in on it, or waits, or is answered, and its end is not yet under way. */
     boolean isQuiet() {
-        return idle() && insideSinceUs == 0 && rest == null && !deaf();
+        return idle() && partialSinceUs == 0 && unparsed == null && !ignoresInput();
     }
 
     /** Behind the request being answered there is none that was read. */
     boolean nothingAhead() {
-        return ahead.isEmpty() && rest == null;
+        return pipelined.isEmpty() && unparsed == null;
     }
 
     /** It waits for a request. */
     boolean idle() {
-        return current == null && ahead.isEmpty();
+        return current == null && pipelined.isEmpty();
     }
 }
--- /dev/null
+++ b/node/src/main/java/hookweir/net/ingress/RequestHandler.java
@@ -0,0 +1,19 @@
+package hookweir.net.ingress;
+
+/** Handles whole requests, on the loop. Each request is to be answered once by {@link Ingress#answer}. */
+public interface RequestHandler {
+    /** Handles a request. Its body counts as held until {@link Ingress#release}. */
+    void request(IngressConnection from, IngressRequest request);
+
+    /** Whether a request for this path submits a job. */
+    boolean isJob(String path);
+
+    /** The number of the request class with this name, or -1. */
+    int classNumber(String className);
+
+    /** Called when a job of the named class is rejected for lack of room before its body was read. */
+    void rejected(String className);
+
+    /** The value of the Retry-After header for rejected jobs, or null. */
+    String retryAfter();
+}
--- /dev/null
+++ b/node/src/main/java/hookweir/net/ingress/ResponseWriter.java
@@ -0,0 +1,87 @@
+package hookweir.net.ingress;
+
+import hookweir.net.Loop;
+import hookweir.net.Message;
+import hookweir.net.Transport;
+import hookweir.room.Room;
+import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteResult;
+
+/** Writes responses, and counts the bytes that clients have not taken yet. Belongs to the loop. */
+final class ResponseWriter {
+    private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final int NO_CONTENT = 204;
+
+    private final Loop loop;
+    private final Transport transport;
+    private final Room room;
+    private int pendingWrites;
+
+    ResponseWriter(Loop loop, Transport transport, Room room) {
+        this.loop = loop;
+        this.transport = transport;
+        this.room = room;
+    }
+
+    /** Whether some response is not wholly written yet. */
+    boolean isWriting() {
+        return pendingWrites > 0;
+    }
+
+    /** Begins a response's head, to which further headers may be added; retryAfter may be null. */
+    Message head(int status, int bodyBytes, String retryAfter) {
+        Message head = transport.message().add(StatusLine.of(status));
+        if (status != NO_CONTENT) {
+            head.add("Content-Length: ").add(bodyBytes).line();
+        }
+        return head.header("Retry-After", retryAfter);
+    }
+
+    /** Ends the head and writes the response; the task runs, in the loop's next turn, once the client has taken it. */
+    void write(IngressConnection c, Message head, byte[] body, Runnable onWritten) {
+        write(c, transport.pooled(head.line(), body), onWritten);
+    }
+
+    /** Asks the client to send the body that it announced. */
+    void writeContinue(IngressConnection c) {
+        write(c, transport.pooled(CONTINUE), () -> { });
+    }
+
+    private void write(IngressConnection c, Buffer message, Runnable onWritten) {
+        int bytes = message.remaining();
+        room.output(bytes);
+        pendingWrites++;
+        if (c.unwrittenSinceUs == 0) {
+            c.unwrittenSinceUs = loop.nowUs();
+        }
+        c.unwrittenBytes += bytes;
+        @SuppressWarnings("unchecked")
+        Connection<SocketAddress> out = (Connection<SocketAddress>) c.connection;
+        out.write(message, new EmptyCompletionHandler<WriteResult<Buffer, SocketAddress>>() {
+            @Override
+            public void completed(WriteResult<Buffer, SocketAddress> result) {
+                loop.post(() -> {
+                    ended(c, bytes);
+                    onWritten.run();
+                });
+            }
+
+            @Override
+            public void failed(Throwable t) {
+                c.connection.closeSilently();
+                loop.post(() -> ended(c, bytes));
+            }
+        });
+    }
+
+    private void ended(IngressConnection c, int bytes) {
+        pendingWrites--;
+        room.outputGone(bytes);
+        c.unwrittenBytes -= bytes;
+        c.unwrittenSinceUs = c.unwrittenBytes == 0 ? 0 : loop.nowUs();
+    }
+}
