Split SocketHost into ten package-private classes by job

SocketHost (592 lines) was the module's host and also routed requests, held them, sent attempts, probed, shared limits among processes, reported and ended the process. Now it puts the parts together and passes the module's calls on (299 lines): RequestRouter routes paths, JobIntake takes jobs, CallbackReceiver takes call-backs and those of neighbours, HeldRequests holds requests and is the one place that answers and forgets, AttemptSender sends, cancels and ends attempts, Prober probes, ProcessShare divides the limits, Shutdown sends clients away and ends the process, StatusReporter logs, ActiveSettings has what a reload replaces. Hop still asks SocketHost, which passes its calls on; classes Exchange, Hop and EgressTarget keep their names here. Order of calls, counters and log lines are as before.

--- /dev/null
+++ b/node/src/main/java/hookweir/net/ActiveSettings.java
@@ -0,0 +1,76 @@
+package hookweir.net;
+
+import hookweir.Contract;
+import hookweir.config.SettingsMapping;
+import hookweir.net.admin.Figures;
+import hookweir.net.egress.LoadReport;
+import hookweir.net.ingress.ExchangeParser;
+import hookweir.room.Room;
+import java.util.List;
+
+/** The settings in force, and what is made of them; replaced as a whole by a reload. Belongs to the {@link Loop}. */
+final class ActiveSettings {
+    private static final int PROBE_DIAL_LIMITS = 2;
+    private static final int TAKE_DIAL_LIMITS = 6;
+
+    private final Room room;
+    private final Figures figures;
+    private Contract.Settings settings;
+    /** By number. */
+    private List<String> classNames;
+    private long probeLimitUs;
+    private ExchangeParser requestParser;
+    private LoadReport loadReport;
+
+    ActiveSettings(Room room, Figures figures, SettingsMapping mapped) {
+        this.room = room;
+        this.figures = figures;
+        adopt(mapped);
+    }
+
+    /** Replaces the settings. */
+    void adopt(SettingsMapping mapped) {
+        settings = mapped.settings;
+        classNames = mapped.classNames;
+        figures.classes(List.copyOf(mapped.classNumbers.keySet()));
+        probeLimitUs = PROBE_DIAL_LIMITS * mapped.dialTimeoutUs;
+        room.classes(settings.classes);
+        requestParser = new ExchangeParser(mapped.classNumbers, settings.classes, mapped.tenantNumbers);
+        loadReport = new LoadReport(mapped.reportFields);
+    }
+
+    /** The decision module's settings. */
+    Contract.Settings settings() {
+        return settings;
+    }
+
+    /** The name of the request class with this number. */
+    String className(int number) {
+        return classNames.get(number);
+    }
+
+    /** Parses clients' headers. */
+    ExchangeParser requestParser() {
+        return requestParser;
+    }
+
+    /** Parses workers' load reports. */
+    LoadReport loadReport() {
+        return loadReport;
+    }
+
+    /** How long a probe, or a notice to a worker, may take. */
+    long probeLimitUs() {
+        return probeLimitUs;
+    }
+
+    /** A healthy worker says sooner than this that it took a job. */
+    long takeLimitUs() {
+        return TAKE_DIAL_LIMITS / PROBE_DIAL_LIMITS * probeLimitUs;
+    }
+
+    /** Whether a second attempt at a request of this class does no harm. */
+    boolean isRepeatable(int requestClass) {
+        return settings.classes.get(requestClass).effect != Contract.Effect.UNSAFE;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/hookweir/net/AttemptSender.java
@@ -0,0 +1,97 @@
+package hookweir.net;
+
+import hookweir.Contract;
+import hookweir.Contract.Outcome;
+import hookweir.Contract.Report;
+import hookweir.net.egress.Egress;
+import hookweir.net.egress.EgressTarget;
+
+/** Sends attempts to workers, cancels them, and tells the decision module how each ended. Belongs to the {@link Loop}. */
+final class AttemptSender {
+    private static final int OK = 200;
+
+    private final SocketHost host;
+    private final Loop loop;
+    private final Invariants invariants;
+    private final ActiveSettings active;
+    private final Egress egress;
+    private final HeldRequests held;
+    private final Contract.Dispatcher module;
+
+    AttemptSender(SocketHost host, Loop loop, Invariants invariants, ActiveSettings active, Egress egress, HeldRequests held,
+            Contract.Dispatcher module) {
+        this.host = host;
+        this.loop = loop;
+        this.invariants = invariants;
+        this.active = active;
+        this.egress = egress;
+        this.held = held;
+        this.module = module;
+    }
+
+    /** Sends a request to a worker, and gives the attempt up after so long; 0 means at the request's deadline. */
+    void send(int requestId, int workerId, long withinUs) {
+        Exchange request = held.byNumber(requestId);
+        if (!invariants.hold(request != null, "send for an unknown exchange")) {
+            loop.post(() -> module.outcome(loop.nowUs(), requestId, 0, workerId, Outcome.MOOT, 0, true, null));
+            return;
+        }
+        long now = loop.nowUs();
+        long leftUs = request.request.giveUpAtUs - now;
+        int number = request.hops.size();
+        EgressTarget worker = egress.target(workerId);
+        boolean moot = request.closed || leftUs <= 0 || number >= active.settings().maxAttempts
+            || !invariants.hold(active.settings().secondCopies || request.out() == null, "two hops out at once");
+        Hop attempt = new Hop(host, egress, request, workerId, moot ? null : worker, number, now);
+        request.hops.add(attempt);
+        if (moot) {
+            attempt.never(Outcome.MOOT);
+        } else if (worker == null) {
+            attempt.never(Outcome.CONNECT_FAILED);
+        } else {
+            attempt.start(withinUs > 0 ? Math.min(withinUs, leftUs) : leftUs);
+        }
+    }
+
+    /** Cancels an attempt, if it is still out. */
+    void cancel(int requestId, int number) {
+        Exchange request = held.byNumber(requestId);
+        if (request != null && number >= 0 && number < request.hops.size()) {
+            request.hops.get(number).giveUp(Outcome.CANCELLED);
+        }
+    }
+
+    /** The one end of every attempt: answers the client if the job was done, then tells the decision module. */
+    void ended(Hop attempt, Outcome outcome, long elapsedUs, Report report, byte[] result) {
+        Exchange request = attempt.exchange;
+        invariants.count("hops " + outcome);
+        Runnable tell = () -> {
+            module.outcome(loop.nowUs(), request.request.id, attempt.number, attempt.workerId, outcome, elapsedUs, request.closed, report);
+            held.settle(request);
+        };
+        if (outcome == Outcome.OK) {
+            // Only a call-back ends an attempt so, and no call-back comes inside a call of the module: it is told at once, or it
+            // could decide on a job that was done a moment ago.
+            held.answer(request, OK, null, result);
+            tell.run();
+        } else {
+            loop.post(tell);
+        }
+    }
+
+    /** Tells a worker that an attempt that it took is given up; runs the task once that is on its way, or can't be. */
+    void notifyGivenUp(Hop attempt, Runnable after) {
+        String path = "/jobs/" + attempt.exchange.from.headers().id();
+        new Errand(loop, egress, invariants, active.probeLimitUs(), attempt.target, "DELETE", path, Egress.ANY) {
+            @Override
+            void onWritten() {
+                after.run();
+            }
+
+            @Override
+            void onEnd(Outcome outcome, Link.Piece last, byte[] body) {
+                after.run();
+            }
+        }.start();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/hookweir/net/CallbackReceiver.java
@@ -0,0 +1,105 @@
+package hookweir.net;
+
+import hookweir.Contract;
+import hookweir.Contract.Outcome;
+import hookweir.Contract.Report;
+import hookweir.net.ingress.Callback;
+import hookweir.net.ingress.Ingress;
+import hookweir.net.ingress.IngressConnection;
+import hookweir.net.upgrade.Succession;
+import hookweir.net.upgrade.Wire;
+import java.util.function.Consumer;
+
+/**
+ * Receives workers' call-backs about jobs, and passes those on that belong to another process of this scheduler. Belongs to
+ * the {@link Loop}.
+ */
+final class CallbackReceiver {
+    private static final byte[] NO_BODY = new byte[0];
+    private static final int NO_CONTENT = 204;
+    private static final int BAD_REQUEST = 400;
+
+    private final Loop loop;
+    private final Invariants invariants;
+    private final ActiveSettings active;
+    private final Ingress ingress;
+    private final HeldRequests held;
+    private final Contract.Dispatcher module;
+    private final Succession succession;
+
+    CallbackReceiver(Loop loop, Invariants invariants, ActiveSettings active, Ingress ingress, HeldRequests held,
+            Contract.Dispatcher module, Succession succession) {
+        this.loop = loop;
+        this.invariants = invariants;
+        this.active = active;
+        this.ingress = ingress;
+        this.held = held;
+        this.module = module;
+        this.succession = succession;
+    }
+
+    /** Receives and answers a call-back. One of another process is answered once that process has it. */
+    void receive(IngressConnection from, byte[] body) {
+        Callback callback = Callback.parse(body);
+        if (callback == null) {
+            invariants.count("ingress bad call-back");
+            ingress.answer(from, BAD_REQUEST, null, NO_BODY);
+        } else if (held.isKnown(callback.id())) {
+            ingress.answer(from, NO_CONTENT, null, NO_BODY);
+            apply(callback);
+        } else {
+            succession.pass(body, null, known -> {
+                invariants.count(known ? "call-backs for a neighbour" : "call-backs for nothing");
+                ingress.answer(from, NO_CONTENT, null, NO_BODY);
+            });
+        }
+    }
+
+    /** Receives a call-back from another process; the verdict says whether it was known here, or further on. */
+    void passed(byte[] body, Wire from, Consumer<Boolean> verdict) {
+        Callback callback = Callback.parse(body);
+        if (callback != null && held.isKnown(callback.id())) {
+            invariants.count("call-backs from a neighbour");
+            apply(callback);
+            verdict.accept(true);
+        } else {
+            succession.pass(body, from, verdict);
+        }
+    }
+
+    private void apply(Callback callback) {
+        Exchange request = held.byClientId(callback.id());
+        Hop attempt = request == null ? null : lastAttemptAt(request, callback.from());
+        if (attempt == null) {
+            // Repeated, late, or not from the worker that has the job: answered, but nothing comes of it.
+            invariants.count("call-backs for nothing");
+            return;
+        }
+        Report report = active.loadReport().ofJson(callback.load());
+        switch (callback.state()) {
+            case "started" -> progress(attempt, 0);
+            case "running" -> progress(attempt, callback.share());
+            case "done" -> attempt.told(Outcome.OK, report, callback.result());
+            case "failed" -> attempt.told(Outcome.ERROR, report, null);
+            case "returned" -> attempt.told(Outcome.FULL, report, null);
+            case "lost" -> attempt.told(Outcome.RESET, report, null);
+            default -> invariants.count("call-backs of unknown state");
+        }
+    }
+
+    private void progress(Hop attempt, double share) {
+        module.progress(loop.nowUs(), attempt.exchange.request.id, attempt.number, attempt.workerId, share);
+    }
+
+    /** The last attempt that the named worker may know of, or null. */
+    private static Hop lastAttemptAt(Exchange request, String worker) {
+        Hop last = null;
+        for (int i = 0; i < request.hops.size(); i++) {
+            Hop attempt = request.hops.get(i);
+            if (attempt.sent() && attempt.target.name.equals(worker)) {
+                last = attempt;
+            }
+        }
+        return last;
+    }
+}
--- a/node/src/main/java/hookweir/net/Exchange.java
+++ b/node/src/main/java/hookweir/net/Exchange.java
@@ -8,8 +8,8 @@
 import java.util.List;
 
 /**
- * One request from a client until its final answer is given and its last hop is over. Owned by the
- * {@link SocketHost}, on the loop.
+ * One request from a client until its final answer is given and its last attempt is over. Owned by
+ * {@link HeldRequests}, on the loop.
  */
 final class Exchange {
     final Contract.Request request;
@@ -28,7 +28,7 @@
         this.client = client;
     }
 
-    /** The hop that is still out, or null. */
+    /** The attempt that is still out, or null. */
     Hop out() {
         for (Hop hop : hops) {
             if (!hop.over()) {
--- /dev/null
+++ b/node/src/main/java/hookweir/net/JobIntake.java
@@ -0,0 +1,93 @@
+package hookweir.net;
+
+import hookweir.Contract;
+import hookweir.net.admin.Figures;
+import hookweir.net.ingress.ExchangeParser;
+import hookweir.net.ingress.Ingress;
+import hookweir.net.ingress.IngressConnection;
+import hookweir.net.ingress.IngressRequest;
+import hookweir.room.Room;
+import java.nio.charset.StandardCharsets;
+
+/** Takes jobs: checks a request, holds it and hands it to the decision module. Belongs to the {@link Loop}. */
+final class JobIntake {
+    private static final byte[] NO_BODY = new byte[0];
+    private static final int BAD_REQUEST = 400;
+    private static final int CONFLICT = 409;
+    private static final int TOO_MANY_REQUESTS = 429;
+
+    private final Loop loop;
+    private final Invariants invariants;
+    private final Figures figures;
+    private final ActiveSettings active;
+    private final Room room;
+    private final Ingress ingress;
+    private final HeldRequests held;
+    private final Contract.Dispatcher module;
+    private int lastNumber;
+
+    JobIntake(Loop loop, Invariants invariants, Figures figures, ActiveSettings active, Room room, Ingress ingress, HeldRequests held,
+            Contract.Dispatcher module) {
+        this.loop = loop;
+        this.invariants = invariants;
+        this.figures = figures;
+        this.active = active;
+        this.room = room;
+        this.ingress = ingress;
+        this.held = held;
+        this.module = module;
+    }
+
+    /** Takes a job, and returns true where it is held from now on; else the request has been answered. */
+    boolean take(IngressConnection from, IngressRequest request) {
+        Contract.Request parsed;
+        try {
+            parsed = active.requestParser().parse(request.headers(), request.path(), ++lastNumber, loop.nowUs());
+        } catch (ExchangeParser.BadRequest e) {
+            invariants.count("ingress bad request");
+            ingress.answer(from, BAD_REQUEST, null, e.getMessage().getBytes(StandardCharsets.US_ASCII));
+            return false;
+        }
+        if (!held.claim(request.headers().id())) {
+            // An id names one job to workers, which may run it still when its answer is given: two of one id could
+            // not be told apart.
+            invariants.count("ingress id twice");
+            ingress.answer(from, CONFLICT, null, NO_BODY);
+            return false;
+        }
+        if (room.job(parsed.requestClass) == Room.Verdict.REFUSE) {
+            invariants.count("exchanges refused for room");
+            figures.turnedAway(active.className(parsed.requestClass));
+            ingress.answer(from, TOO_MANY_REQUESTS, retryAfter(), NO_BODY);
+            return false;
+        }
+        hold(new Exchange(parsed, request, from));
+        return true;
+    }
+
+    private void hold(Exchange request) {
+        Contract.Request parsed = request.request;
+        if (parsed.tenant == ExchangeParser.NOBODY) {
+            invariants.count("exchanges of no known owner");
+        }
+        held.add(request);
+        invariants.count("exchanges");
+        figures.taken();
+        ingress.onDisconnect(request.client, () -> clientLeft(request));
+        module.request(loop.nowUs(), parsed);
+    }
+
+    private void clientLeft(Exchange request) {
+        request.closed = true;
+        figures.abandoned();
+        invariants.count("clients gone");
+        module.withdrawn(loop.nowUs(), request.request.id);
+        held.settle(request);
+    }
+
+    /** The Retry-After header's value for jobs that are rejected for lack of room, or null. */
+    String retryAfter() {
+        Contract.Settings settings = active.settings();
+        return settings.comeBackAdvice ? HeldRequests.seconds(settings.maxComeBackUs) : null;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/hookweir/net/Prober.java
@@ -0,0 +1,48 @@
+package hookweir.net;
+
+import hookweir.Contract;
+import hookweir.Contract.Outcome;
+import hookweir.Contract.Report;
+import hookweir.net.egress.Egress;
+import hookweir.net.egress.EgressTarget;
+
+/** Probes workers for the decision module: a health check, or a call for a load report. Belongs to the {@link Loop}. */
+final class Prober {
+    private final Loop loop;
+    private final Invariants invariants;
+    private final ActiveSettings active;
+    private final Egress egress;
+    private final Contract.Dispatcher module;
+
+    Prober(Loop loop, Invariants invariants, ActiveSettings active, Egress egress, Contract.Dispatcher module) {
+        this.loop = loop;
+        this.invariants = invariants;
+        this.active = active;
+        this.egress = egress;
+        this.module = module;
+    }
+
+    /** Probes a worker, and tells the module how it ended. */
+    void probe(int workerId) {
+        EgressTarget worker = egress.target(workerId);
+        if (worker == null) {
+            loop.post(() -> module.probed(loop.nowUs(), workerId, Outcome.CONNECT_FAILED, 0, null));
+            return;
+        }
+        invariants.count("probes");
+        String path = active.settings().reports == Contract.ReportsBy.NEVER ? "/healthz" : "/load";
+        new Errand(loop, egress, invariants, active.probeLimitUs(), worker, "GET", path, Egress.SETTLED) {
+            @Override
+            void onEnd(Outcome outcome, Link.Piece last, byte[] body) {
+                Report report = last == null ? null : report(last, body);
+                long elapsedUs = loop.nowUs() - startUs;
+                loop.post(() -> module.probed(loop.nowUs(), workerId, outcome, elapsedUs, report));
+            }
+        }.start();
+    }
+
+    /** The load report in an answer's header or body, or null. */
+    private Report report(Link.Piece last, byte[] body) {
+        return last.load() != null ? active.loadReport().ofPairs(last.load()) : active.loadReport().ofBody(body);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/hookweir/net/ProcessShare.java
@@ -0,0 +1,49 @@
+package hookweir.net;
+
+import hookweir.config.Config;
+import hookweir.net.egress.Egress;
+import hookweir.net.ingress.Ingress;
+import hookweir.net.upgrade.Succession;
+import hookweir.room.Room;
+
+/**
+ * This process's share of descriptors and memory: all processes of a scheduler share one machine. Belongs to the
+ * {@link Loop}.
+ */
+final class ProcessShare {
+    /** Beside clients and links: the JVM's own, operators', discovery's, neighbours', and those not yet seen. */
+    private static final int OWN_DESCRIPTORS = 48;
+    private static final int MIN_DESCRIPTORS = 16;
+
+    private final Room room;
+    private final Egress egress;
+    private final Ingress ingress;
+    private final Succession succession;
+    private final int descriptors;
+    private long heldBytes;
+    private int heldJobs;
+
+    ProcessShare(Config config, Room room, Egress egress, Ingress ingress, Succession succession) {
+        this.room = room;
+        this.egress = egress;
+        this.ingress = ingress;
+        this.succession = succession;
+        descriptors = config.sockets();
+        limits(config);
+    }
+
+    /** Takes over the limits of a configuration; an update is to follow. */
+    void limits(Config config) {
+        heldBytes = config.heldBytes();
+        heldJobs = config.heldJobs();
+    }
+
+    /** Divides the limits by the number of processes, and keeps within them. */
+    void update() {
+        int processes = 1 + succession.neighbours();
+        room.limit(heldBytes / processes, heldJobs / processes);
+        room.descriptors(Math.max(MIN_DESCRIPTORS, descriptors / processes - OWN_DESCRIPTORS));
+        egress.fit();
+        ingress.fit();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/hookweir/net/RequestRouter.java
@@ -0,0 +1,94 @@
+package hookweir.net;
+
+import hookweir.net.admin.Figures;
+import hookweir.net.admin.Standing;
+import hookweir.net.ingress.Ingress;
+import hookweir.net.ingress.IngressConnection;
+import hookweir.net.ingress.IngressRequest;
+import hookweir.net.ingress.RequestHandler;
+
+/** Routes requests by their path: workers' call-backs, health checks and jobs. Belongs to the {@link Loop}. */
+final class RequestRouter implements RequestHandler {
+    private static final byte[] NO_BODY = new byte[0];
+    private static final String POST = "POST";
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    private static final int METHOD_NOT_ALLOWED = 405;
+    private static final int UNAVAILABLE = 503;
+
+    private final Invariants invariants;
+    private final Standing standing;
+    private final Figures figures;
+    private final ActiveSettings active;
+    private final Ingress ingress;
+    private final CallbackReceiver callbacks;
+    private final JobIntake intake;
+
+    RequestRouter(Invariants invariants, Standing standing, Figures figures, ActiveSettings active, Ingress ingress,
+            CallbackReceiver callbacks, JobIntake intake) {
+        this.invariants = invariants;
+        this.standing = standing;
+        this.figures = figures;
+        this.active = active;
+        this.ingress = ingress;
+        this.callbacks = callbacks;
+        this.intake = intake;
+    }
+
+    @Override
+    public void request(IngressConnection from, IngressRequest request) {
+        if (!route(from, request)) {
+            ingress.release(request);
+        }
+    }
+
+    /** Whether the request is held from now on. */
+    private boolean route(IngressConnection from, IngressRequest request) {
+        if (request.path().equals("/callback")) {
+            callback(from, request);
+        } else if (request.path().equals("/healthz")) {
+            ingress.answer(from, standing.wantsClients() ? OK : UNAVAILABLE, null, NO_BODY);
+        } else if (!isJob(request.path())) {
+            invariants.count("ingress unknown path");
+            ingress.answer(from, NOT_FOUND, null, NO_BODY);
+        } else if (!request.method().equals(POST)) {
+            ingress.answer(from, METHOD_NOT_ALLOWED, null, NO_BODY);
+        } else {
+            return intake.take(from, request);
+        }
+        return false;
+    }
+
+    private void callback(IngressConnection from, IngressRequest request) {
+        ingress.carriesCallbacks(from);
+        if (request.method().equals(POST)) {
+            callbacks.receive(from, request.body());
+        } else {
+            ingress.answer(from, METHOD_NOT_ALLOWED, null, NO_BODY);
+        }
+    }
+
+    /** Classes without a key come to the bare path. */
+    @Override
+    public boolean isJob(String path) {
+        return path.equals("/api") || path.startsWith("/api/");
+    }
+
+    @Override
+    public int classNumber(String className) {
+        return active.requestParser().numberOf(className);
+    }
+
+    @Override
+    public void rejected(String className) {
+        int number = classNumber(className);
+        if (number >= 0) {
+            figures.turnedAway(active.className(number));
+        }
+    }
+
+    @Override
+    public String retryAfter() {
+        return intake.retryAfter();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/hookweir/net/Shutdown.java
@@ -0,0 +1,81 @@
+package hookweir.net;
+
+import hookweir.Contract;
+import hookweir.net.admin.Standing;
+import hookweir.net.ingress.Ingress;
+
+/**
+ * Sends clients away while operators, a later process or a planned end want it, and stops the loop at a planned end once
+ * nothing is held. Belongs to the {@link Loop}.
+ */
+final class Shutdown {
+    /** SIGKILL comes no sooner than 3.7 s after SIGTERM; what can still be tried elsewhere is let go before. */
+    private static final long LET_GO_AFTER_US = 3_500_000;
+    private static final long EXIT_AFTER_US = 900_000;
+    private static final long EXIT_POLL_US = 50_000;
+
+    private final Loop loop;
+    private final Invariants invariants;
+    private final Standing standing;
+    private final Ingress ingress;
+    private final HeldRequests held;
+    private final Contract.Dispatcher module;
+    private boolean draining;
+    /** A later process has taken over the clients. */
+    private boolean succeeded;
+
+    Shutdown(Loop loop, Invariants invariants, Standing standing, Ingress ingress, HeldRequests held, Contract.Dispatcher module) {
+        this.loop = loop;
+        this.invariants = invariants;
+        this.standing = standing;
+        this.ingress = ingress;
+        this.held = held;
+        this.module = module;
+    }
+
+    /** A later process takes the clients (true), or is gone again. */
+    void succeeded(boolean on) {
+        if (on != succeeded) {
+            succeeded = on;
+            standing.succeeded(on);
+            ingress.accepts(!on);
+            updateSendingAway();
+        }
+    }
+
+    /** Sends clients away or keeps them, as operators, processes and signals have it by now. A planned end is not undone. */
+    void updateSendingAway() {
+        boolean away = standing.isQuiesced() || draining || succeeded;
+        invariants.count(away ? "clients sent away" : "clients welcome");
+        ingress.sendAway(away);
+    }
+
+    /**
+     * After SIGTERM: ends the clients' connections between requests, so that they go to other schedulers, lets
+     * the module refuse what it can't see to its end, and stops the loop once nothing is held.
+     */
+    void drain() {
+        if (draining) {
+            return;
+        }
+        draining = true;
+        standing.leaves();
+        int heldBefore = held.size();
+        long since = loop.nowUs();
+        ingress.sendAway(true);
+        module.leaving(since, since + LET_GO_AFTER_US);
+        Log.line("draining, held=" + heldBefore + ", of them let go at once " + held.answered());
+        loop.after(EXIT_AFTER_US, () -> exitWhenIdle(since));
+    }
+
+    private void exitWhenIdle(long since) {
+        if (held.isEmpty() && ingress.quiet()) {
+            // Whoever comes now waits in an inherited socket for the process that follows.
+            ingress.accepts(false);
+            Log.line("idle " + (loop.nowUs() - since) / 1000 + " ms after the signal, leaving; " + invariants);
+            loop.stop();
+        } else {
+            loop.after(EXIT_POLL_US, () -> exitWhenIdle(since));
+        }
+    }
+}
--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -5,14 +5,9 @@
 import hookweir.Contract.Report;
 import hookweir.Policy;
 import hookweir.config.Config;
-import hookweir.config.SettingsMapping;
 import hookweir.net.admin.Figures;
 import hookweir.net.admin.Standing;
 import hookweir.net.egress.Egress;
-import hookweir.net.egress.EgressTarget;
-import hookweir.net.egress.LoadReport;
-import hookweir.net.ingress.Callback;
-import hookweir.net.ingress.ExchangeParser;
 import hookweir.net.ingress.Ingress;
 import hookweir.net.ingress.IngressConnection;
 import hookweir.net.ingress.IngressRequest;
@@ -21,61 +16,37 @@
 import hookweir.net.upgrade.Wire;
 import hookweir.room.Room;
 import java.io.IOException;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Locale;
-import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 
 /**
- * The module's host, on the sockets. Owns the module and every exchange; all of it runs on the {@link Loop}.
- * The module is never entered from inside one of its own calls: what a call leads to is posted.
+ * The decision module's host, on the sockets. Owns the module, puts the parts of a scheduler together and passes the module's
+ * calls to them; all of it runs on the {@link Loop}. The module is never entered from inside one of its own calls: what a call
+ * leads to is posted.
  */
-public final class SocketHost implements Contract.Host, RequestHandler, Succession.Listener {
-    private static final byte[] NOTHING = new byte[0];
-    /** Beside clients and links: the JVM's own, operators', discovery's, neighbours', and those not yet seen. */
-    private static final int OWN_DESCRIPTORS = 48;
-    private static final int PROBE_DIAL_LIMITS = 2;
-    private static final int TAKE_DIAL_LIMITS = 6;
-    private static final long LOG_EVERY_US = 10_000_000;
-    private static final long PUBLISH_EVERY_US = 200_000;
-    private static final int MOST_TAKEN = 4096;
-    /** SIGKILL comes no sooner than 3.7 s after SIGTERM; what can still be tried elsewhere is let go before. */
-    private static final long LET_GO_AFTER_US = 3_500_000;
-    private static final int LEAST_SHARE = 16;
-    private static final long EXIT_AFTER_US = 900_000;
-    private static final long EXIT_POLL_US = 50_000;
+public final class SocketHost implements Contract.Host {
+    private static final byte[] NO_BODY = new byte[0];
+    private static final int SERVER_ERROR = 500;
 
     private final Loop loop;
     private final Invariants invariants;
     private final Standing standing;
     private final Figures figures;
-    private Contract.Settings settings;
-    /** By number. */
-    private List<String> classNames;
-    private long probeLimitUs;
+    private final ActiveSettings active;
     private final Contract.Dispatcher module;
-    private final Room room;
     private final Ingress ingress;
     private final Egress egress;
     private final Membership membership;
     private final Succession succession;
-    private final int sockets;
-    private long heldBytes;
-    private int heldJobs;
-    private ExchangeParser exchangeParser;
-    private LoadReport loadReport;
-    private final Map<Integer, Exchange> exchanges = new HashMap<>();
-    private final Map<String, Exchange> byName = new HashMap<>();
-    /** Ids of the last exchanges, over or not. */
-    private final Set<String> taken = Recent.last(MOST_TAKEN);
-    private int lastId;
-    private boolean draining;
-    /** This process follows one that serves. */
+    private final ProcessShare share;
+    private final HeldRequests held;
+    private final AttemptSender attempts;
+    private final Prober prober;
+    private final CallbackReceiver callbacks;
+    private final RequestRouter router;
+    private final Shutdown shutdown;
+    private final StatusReporter reporter;
+    /** Another process of this scheduler serves already when this one starts. */
     private boolean follows;
-    /** A later process has taken over the clients. */
-    private boolean retired;
 
     public SocketHost(Config config, Loop loop, Transport transport, Invariants invariants, Standing standing,
             Figures figures) {
@@ -83,37 +54,80 @@
         this.invariants = invariants;
         this.standing = standing;
         this.figures = figures;
-        room = new Room(config.heldBytes(), config.heldJobs());
-        adopt(config.settings());
-        sockets = config.sockets();
-        heldBytes = config.heldBytes();
-        heldJobs = config.heldJobs();
+        Room room = new Room(config.heldBytes(), config.heldJobs());
+        active = new ActiveSettings(room, figures, config.settings());
         Dialer dialer = new Dialer(loop, transport);
-        ingress = new Ingress(loop, transport, invariants, room, this::links, this);
+        ingress = new Ingress(loop, transport, invariants, room, this::links, new Requests());
         egress = new Egress(loop, dialer, invariants, config.settings().dialTimeoutUs, config.settings().connIdleUs, room, ingress::size);
-        module = new Policy(settings, config.seed(), this);
+        module = new Policy(active.settings(), config.seed(), this);
         membership = new Membership(config, loop, dialer, invariants, egress, module, this::ready);
-        succession = new Succession(loop, invariants, config.meeting(), this);
-        share();
+        succession = new Succession(loop, invariants, config.meeting(), new Neighbours());
+        share = new ProcessShare(config, room, egress, ingress, succession);
+        held = new HeldRequests(invariants, figures, active, room, ingress);
+        attempts = new AttemptSender(this, loop, invariants, active, egress, held, module);
+        prober = new Prober(loop, invariants, active, egress, module);
+        callbacks = new CallbackReceiver(loop, invariants, active, ingress, held, module, succession);
+        JobIntake intake = new JobIntake(loop, invariants, figures, active, room, ingress, held, module);
+        router = new RequestRouter(invariants, standing, figures, active, ingress, callbacks, intake);
+        shutdown = new Shutdown(loop, invariants, standing, ingress, held, module);
+        reporter = new StatusReporter(loop, invariants, figures, room, ingress, egress, held, module);
+        share.update();
+    }
+
+    /** Links to workers; the ingress asks before there are any. */
+    private int links() {
+        return egress == null ? 0 : egress.size();
     }
 
-    /** Begins to learn of the workers. On the loop. */
-    public void start(Config config) {
-        membership.start(config);
-        egress.start();
-        loop.after(LOG_EVERY_US, this::report);
-        publishRegularly();
+    /** Passes requests to the router, which can't be made before the ingress that answers them. */
+    private final class Requests implements RequestHandler {
+        @Override
+        public void request(IngressConnection from, IngressRequest request) {
+            router.request(from, request);
+        }
+
+        @Override
+        public boolean isJob(String path) {
+            return router.isJob(path);
+        }
+
+        @Override
+        public int classNumber(String className) {
+            return router.classNumber(className);
+        }
+
+        @Override
+        public void rejected(String className) {
+            router.rejected(className);
+        }
+
+        @Override
+        public String retryAfter() {
+            return router.retryAfter();
+        }
     }
 
-    private void publishRegularly() {
-        publish();
-        loop.after(PUBLISH_EVERY_US, this::publishRegularly);
+    /** Receives what other processes of this scheduler do. */
+    private final class Neighbours implements Succession.Listener {
+        @Override
+        public void neighboursChanged() {
+            share.update();
+            shutdown.succeeded(succession.succeeded());
+        }
+
+        @Override
+        public void passed(byte[] callback, Wire from, Consumer<Boolean> verdict) {
+            callbacks.passed(callback, from, verdict);
+        }
     }
 
-    /** The module is asked here, so that no operator waits for the loop. */
-    private void publish() {
-        figures.held(room.bytes(), room.mostBytes(), room.jobs(), room.mostJobs());
-        figures.targets(egress.targets(), module.avoided(loop.nowUs()));
+    // ---- start, reload and end ----
+
+    /** Begins to learn of the workers. On the loop. */
+    public void start(Config config) {
+        membership.start(config);
+        egress.start();
+        reporter.start();
     }
 
     /**
@@ -134,390 +148,119 @@
         if (follows) {
             ingress.accepts(true);
         }
-        publish();
+        reporter.publish();
         standing.serves();
         succession.serves();
         Log.line(follows ? "took over" : "ready");
     }
 
-    /** Ends what no connection's end does. */
-    void end() {
-        succession.end();
-    }
-
-    // ---- other processes of this scheduler ----
-
-    @Override
-    public void neighboursChanged() {
-        share();
-        if (succession.succeeded() != retired) {
-            retired = !retired;
-            standing.succeeded(retired);
-            ingress.accepts(!retired);
-            turned();
-        }
-    }
-
-    /** All processes of a scheduler share one machine: its descriptors and its memory. */
-    private void share() {
-        int processes = 1 + succession.neighbours();
-        room.limit(heldBytes / processes, heldJobs / processes);
-        room.descriptors(Math.max(LEAST_SHARE, sockets / processes - OWN_DESCRIPTORS));
-        egress.fit();
-        ingress.fit();
-    }
-
-    @Override
-    public void passed(byte[] callback, Wire from, Consumer<Boolean> verdict) {
-        Callback told = Callback.parse(callback);
-        if (told != null && ours(told)) {
-            invariants.count("call-backs from a neighbour");
-            called(told);
-            verdict.accept(true);
-        } else {
-            succession.pass(callback, from, verdict);
-        }
-    }
-
-    private boolean ours(Callback told) {
-        return byName.containsKey(told.id()) || taken.contains(told.id());
-    }
-
-    private void report() {
-        Log.line("held=" + byName.size() + " ingress=" + ingress.size() + " egress=" + egress.size() + " bytes=" + room.bytes()
-            + " timers=" + loop.timers() + " " + invariants);
-        loop.after(LOG_EVERY_US, this::report);
-    }
-
-    /** All that the settings decide here. */
-    private void adopt(SettingsMapping mapped) {
-        settings = mapped.settings;
-        classNames = mapped.classNames;
-        figures.classes(List.copyOf(mapped.classNumbers.keySet()));
-        probeLimitUs = PROBE_DIAL_LIMITS * mapped.dialTimeoutUs;
-        room.classes(settings.classes);
-        exchangeParser = new ExchangeParser(mapped.classNumbers, settings.classes, mapped.tenantNumbers);
-        loadReport = new LoadReport(mapped.reportFields);
-    }
-
     /**
      * Takes over a configuration that was read and checked whole. Jobs under way keep the numbers of their classes.
      * Where another address serves the list, what was told of it so far stands until that one speaks.
      */
     void reload(Config next) {
-        adopt(next.settings());
-        heldBytes = next.heldBytes();
-        heldJobs = next.heldJobs();
-        share();
+        active.adopt(next.settings());
+        share.limits(next);
+        share.update();
         egress.limits(next.settings().dialTimeoutUs, next.settings().connIdleUs);
         membership.adopt(next.settings());
-        module.retune(loop.nowUs(), settings);
+        module.retune(loop.nowUs(), active.settings());
         membership.move(next.discovery());
         invariants.count("reloads");
         figures.reloaded(true);
         Log.line("reloaded: discovery " + next.discovery() + ", classes " + next.settings().classNumbers + ", at most "
-            + settings.maxAttempts + " attempts");
-    }
-
-    // ---- requests ----
-
-    private int links() {
-        return egress == null ? 0 : egress.size();
-    }
-
-    @Override
-    public boolean isJob(String path) {
-        return path.equals("/api") || path.startsWith("/api/");
-    }
-
-    @Override
-    public int classNumber(String kind) {
-        return exchangeParser.numberOf(kind);
-    }
-
-    @Override
-    public void rejected(String kind) {
-        int number = classNumber(kind);
-        if (number >= 0) {
-            figures.turnedAway(classNames.get(number));
-        }
-    }
-
-    @Override
-    public String retryAfter() {
-        return settings.comeBackAdvice ? seconds(settings.maxComeBackUs) : null;
-    }
-
-    private static String seconds(long us) {
-        return us <= 0 ? null : String.format(Locale.ROOT, "%.3f", us / 1e6);
+            + active.settings().maxAttempts + " attempts");
     }
 
-    @Override
-    public void request(IngressConnection from, IngressRequest request) {
-        if (!serve(from, request)) {
-            ingress.release(request);
-        }
-    }
-
-    /** True where it is held as an exchange. */
-    private boolean serve(IngressConnection from, IngressRequest request) {
-        if (request.path().equals("/callback")) {
-            ingress.carriesCallbacks(from);
-            if (request.method().equals("POST")) {
-                Callback told = Callback.parse(request.body());
-                if (told == null) {
-                    invariants.count("ingress bad call-back");
-                    ingress.answer(from, 400, null, NOTHING);
-                } else if (ours(told)) {
-                    ingress.answer(from, 204, null, NOTHING);
-                    called(told);
-                } else {
-                    // Processes that share the socket get each other's: answered once the job's own has it.
-                    succession.pass(request.body(), null, known -> {
-                        invariants.count(known ? "call-backs for a neighbour" : "call-backs for nothing");
-                        ingress.answer(from, 204, null, NOTHING);
-                    });
-                }
-            } else {
-                ingress.answer(from, 405, null, NOTHING);
-            }
-        } else if (request.path().equals("/healthz")) {
-            ingress.answer(from, standing.wantsClients() ? 200 : 503, null, NOTHING);
-        } else if (!isJob(request.path())) {
-            // Classes without a key come to the bare path.
-            invariants.count("ingress unknown path");
-            ingress.answer(from, 404, null, NOTHING);
-        } else if (!request.method().equals("POST")) {
-            ingress.answer(from, 405, null, NOTHING);
-        } else {
-            return take(from, request);
-        }
-        return false;
-    }
-
-    private boolean take(IngressConnection from, IngressRequest request) {
-        Contract.Request r;
-        try {
-            r = exchangeParser.parse(request.headers(), request.path(), ++lastId, loop.nowUs());
-        } catch (ExchangeParser.BadRequest e) {
-            invariants.count("ingress bad request");
-            ingress.answer(from, 400, null, e.getMessage().getBytes(java.nio.charset.StandardCharsets.US_ASCII));
-            return false;
-        }
-        if (byName.containsKey(request.headers().id()) || !taken.add(request.headers().id())) {
-            // An id names one job to workers, which may run it still when its answer is given: two of one id could
-            // not be told apart.
-            invariants.count("ingress id twice");
-            ingress.answer(from, 409, null, NOTHING);
-            return false;
-        }
-        if (room.job(r.requestClass) == Room.Verdict.REFUSE) {
-            invariants.count("exchanges refused for room");
-            figures.turnedAway(classNames.get(r.requestClass));
-            ingress.answer(from, 429, retryAfter(), NOTHING);
-            return false;
-        }
-        if (r.tenant == ExchangeParser.NOBODY) {
-            invariants.count("exchanges of no known owner");
-        }
-        Exchange x = new Exchange(r, request, from);
-        exchanges.put(r.id, x);
-        byName.put(request.headers().id(), x);
-        invariants.count("exchanges");
-        figures.taken();
-        ingress.onDisconnect(from, () -> {
-            x.closed = true;
-            figures.abandoned();
-            invariants.count("clients gone");
-            module.withdrawn(loop.nowUs(), r.id);
-            settle(x);
-        });
-        module.request(loop.nowUs(), r);
-        return true;
-    }
-
-    /** The one place that gives a final answer. */
-    private boolean close(Exchange x, int status, String retryAfter, byte[] body) {
-        if (x.closed) {
-            return false;
-        }
-        x.closed = true;
-        invariants.count("answers " + status);
-        figures.answered(classNames.get(x.request.requestClass), status);
-        ingress.answer(x.client, status, retryAfter, body);
-        return true;
+    /** Operators sent clients away or called them back: those connected follow. A planned end is not undone by it. */
+    void turned() {
+        shutdown.updateSendingAway();
     }
 
-    /** Refuses an exchange: trying again is harmless, best after so long. */
-    private void shed(Exchange x, long comeBackUs) {
-        close(x, 429, seconds(comeBackUs), NOTHING);
-        settle(x);
+    /** Begins the planned end, which stops the loop once nothing is held. */
+    public void drain() {
+        shutdown.drain();
     }
 
-    /** Forgets an exchange that is closed and has no hop out. */
-    private void settle(Exchange x) {
-        if (x.closed && x.out() == null && exchanges.remove(x.request.id, x)) {
-            byName.remove(x.from.headers().id(), x);
-            if (x.guard != null) {
-                x.guard.cancel();
-            }
-            room.jobGone();
-            ingress.release(x.from);
-        }
+    /** Ends what no connection's end does. */
+    void end() {
+        succession.end();
     }
 
-    private void called(Callback told) {
-        Exchange x = byName.get(told.id());
-        Hop hop = null;
-        for (int i = 0; x != null && i < x.hops.size(); i++) {
-            Hop one = x.hops.get(i);
-            hop = one.sent() && one.target.name.equals(told.from()) ? one : hop;
-        }
-        if (hop == null) {
-            // Repeated, late, or not from the worker that has the job: answered, but nothing comes of it.
-            invariants.count("call-backs for nothing");
-            return;
-        }
-        Report report = loadReport.ofJson(told.load());
-        switch (told.state()) {
-            case "started" -> module.progress(loop.nowUs(), x.request.id, hop.number, hop.workerId, 0);
-            case "running" -> module.progress(loop.nowUs(), x.request.id, hop.number, hop.workerId, told.share());
-            case "done" -> hop.told(Outcome.OK, report, told.result());
-            case "failed" -> hop.told(Outcome.ERROR, report, null);
-            case "returned" -> hop.told(Outcome.FULL, report, null);
-            case "lost" -> hop.told(Outcome.RESET, report, null);
-            default -> invariants.count("call-backs of unknown state");
-        }
-    }
+    // ---- what attempts need ----
 
-    /** The one end of every hop: answers the client if it was served, then tells the module. */
-    void hopOver(Hop hop, Outcome outcome, long elapsedUs, Report report, byte[] result) {
-        Exchange x = hop.exchange;
-        invariants.count("hops " + outcome);
-        Runnable tell = () -> {
-            module.outcome(loop.nowUs(), x.request.id, hop.number, hop.workerId, outcome, elapsedUs, x.closed, report);
-            settle(x);
-        };
-        if (outcome == Outcome.OK) {
-            // Only a call-back ends a hop so, and no call-back comes inside a call of the module: it hears at once, or it could
-            // decide on a job that was served a moment ago.
-            close(x, 200, null, result);
-            tell.run();
-        } else {
-            loop.post(tell);
-        }
+    /** The loop that all this runs on. */
+    Loop loop() {
+        return loop;
     }
 
-    /** A hop's last byte is written. */
+    /** An attempt's last byte is written. */
     void dispatched() {
         figures.dispatched();
     }
 
     /** A report from an answer's header, or null. */
     Report report(String header) {
-        return loadReport.ofPairs(header);
+        return active.loadReport().ofPairs(header);
     }
 
-    /** A second hop of it would do no harm. */
-    boolean repeatable(Exchange x) {
-        return settings.classes.get(x.request.requestClass).effect != Contract.Effect.UNSAFE;
+    /** A second attempt at it would do no harm. */
+    boolean repeatable(Exchange request) {
+        return active.isRepeatable(request.request.requestClass);
     }
 
     /** Attempts can be called off. */
     boolean cancels() {
-        return settings.cancels;
+        return active.settings().cancels;
     }
 
-    /** A worker that is well says sooner than this that it took a job. */
+    /** A healthy worker says sooner than this that it took a job. */
     long takeLimitUs() {
-        return TAKE_DIAL_LIMITS / PROBE_DIAL_LIMITS * probeLimitUs;
+        return active.takeLimitUs();
     }
 
-    /** The loop that all this runs on. */
-    Loop loop() {
-        return loop;
+    /** Tells a worker that an attempt that it took is given up; runs the task once that is on its way, or can't be. */
+    void delete(Hop attempt, Runnable after) {
+        attempts.notifyGivenUp(attempt, after);
     }
 
-    /** Tells a worker that a hop that it took is given up; runs the task once that is on its way, or can't be. */
-    void delete(Hop hop, Runnable after) {
-        new Errand(loop, egress, invariants, probeLimitUs, hop.target, "DELETE", "/jobs/" + hop.exchange.from.headers().id(), Egress.ANY) {
-            @Override
-            void onWritten() {
-                after.run();
-            }
-
-            @Override
-            void onEnd(Outcome outcome, Link.Piece last, byte[] body) {
-                after.run();
-            }
-        }.start();
+    /** The one end of every attempt. */
+    void hopOver(Hop attempt, Outcome outcome, long elapsedUs, Report report, byte[] result) {
+        attempts.ended(attempt, outcome, elapsedUs, report, result);
     }
 
     // ---- Contract.Host ----
 
     @Override
     public void send(int requestId, int workerId, long withinUs) {
-        Exchange x = exchanges.get(requestId);
-        if (!invariants.hold(x != null, "send for an unknown exchange")) {
-            loop.post(() -> module.outcome(loop.nowUs(), requestId, 0, workerId, Outcome.MOOT, 0, true, null));
-            return;
-        }
-        long now = loop.nowUs();
-        long left = x.request.giveUpAtUs - now;
-        int number = x.hops.size();
-        EgressTarget target = egress.target(workerId);
-        boolean moot = x.closed || left <= 0 || number >= settings.maxAttempts
-            || !invariants.hold(settings.secondCopies || x.out() == null, "two hops out at once");
-        if (moot || target == null) {
-            x.hops.add(new Hop(this, egress, x, workerId, null, number, now));
-            x.hops.get(number).never(moot ? Outcome.MOOT : Outcome.CONNECT_FAILED);
-        } else {
-            x.hops.add(new Hop(this, egress, x, workerId, target, number, now));
-            x.hops.get(number).start(withinUs > 0 ? Math.min(withinUs, left) : left);
-        }
+        attempts.send(requestId, workerId, withinUs);
     }
 
     @Override
     public void refuse(int requestId, long comeBackUs) {
-        Exchange x = exchanges.get(requestId);
-        if (invariants.hold(x != null && !x.closed, "refusal of a closed exchange")) {
-            shed(x, comeBackUs);
+        Exchange request = held.byNumber(requestId);
+        if (invariants.hold(request != null && !request.closed, "refusal of a closed exchange")) {
+            held.refuse(request, comeBackUs);
         }
     }
 
     @Override
     public void fail(int requestId) {
-        Exchange x = exchanges.get(requestId);
-        if (invariants.hold(x != null && !x.closed, "failure of a closed exchange")) {
-            close(x, 500, null, NOTHING);
-            settle(x);
+        Exchange request = held.byNumber(requestId);
+        if (invariants.hold(request != null && !request.closed, "failure of a closed exchange")) {
+            held.answer(request, SERVER_ERROR, null, NO_BODY);
+            held.settle(request);
         }
     }
 
     @Override
     public void cancel(int requestId, int attempt) {
-        Exchange x = exchanges.get(requestId);
-        if (x != null && attempt >= 0 && attempt < x.hops.size()) {
-            x.hops.get(attempt).giveUp(Outcome.CANCELLED);
-        }
+        attempts.cancel(requestId, attempt);
     }
 
     @Override
     public void probe(int workerId) {
-        EgressTarget target = egress.target(workerId);
-        if (target == null) {
-            loop.post(() -> module.probed(loop.nowUs(), workerId, Outcome.CONNECT_FAILED, 0, null));
-            return;
-        }
-        invariants.count("probes");
-        new Errand(loop, egress, invariants, probeLimitUs, target, "GET", settings.reports == Contract.ReportsBy.NEVER ? "/healthz" : "/load", Egress.SETTLED) {
-            @Override
-            void onEnd(Outcome outcome, Link.Piece last, byte[] whole) {
-                Report report = last == null ? null : last.load() != null ? loadReport.ofPairs(last.load()) : loadReport.ofBody(whole);
-                long elapsed = loop.nowUs() - startUs;
-                loop.post(() -> module.probed(loop.nowUs(), workerId, outcome, elapsed, report));
-            }
-        }.start();
+        prober.probe(workerId);
     }
 
     @Override
@@ -527,9 +270,9 @@
 
     @Override
     public void guard(int requestId, long token, long delayUs) {
-        Exchange x = exchanges.get(requestId);
-        if (invariants.hold(x != null, "guard of an unknown exchange")) {
-            x.guard = loop.after(delayUs, () -> module.timer(loop.nowUs(), token));
+        Exchange request = held.byNumber(requestId);
+        if (invariants.hold(request != null, "guard of an unknown exchange")) {
+            request.guard = loop.after(delayUs, () -> module.timer(loop.nowUs(), token));
         }
     }
 
@@ -553,41 +296,4 @@
     public void log(String text) {
         Log.line("module: " + text);
     }
-
-    // ---- a planned end ----
-
-    /** Operators sent clients away or called them back: those connected follow. A planned end is not undone by it. */
-    void turned() {
-        boolean away = standing.isQuiesced() || draining || retired;
-        invariants.count(away ? "clients sent away" : "clients welcome");
-        ingress.sendAway(away);
-    }
-
-    /**
-     * After SIGTERM: ends the clients' connections between requests, so that they go to other schedulers, lets
-     * the module refuse what it can't see to its end, and stops the loop once nothing is held.
-     */
-    public void drain() {
-        if (!draining) {
-            draining = true;
-            standing.leaves();
-            int held = byName.size();
-            long since = loop.nowUs();
-            ingress.sendAway(true);
-            module.leaving(since, since + LET_GO_AFTER_US);
-            Log.line("draining, held=" + held + ", of them let go at once " + exchanges.values().stream().filter(x -> x.closed).count());
-            loop.after(EXIT_AFTER_US, () -> exitWhenIdle(since));
-        }
-    }
-
-    private void exitWhenIdle(long since) {
-        if (exchanges.isEmpty() && ingress.quiet()) {
-            // Whoever comes now waits in an inherited socket for the process that follows.
-            ingress.accepts(false);
-            Log.line("idle " + (loop.nowUs() - since) / 1000 + " ms after the signal, leaving; " + invariants);
-            loop.stop();
-        } else {
-            loop.after(EXIT_POLL_US, () -> exitWhenIdle(since));
-        }
-    }
 }
--- /dev/null
+++ b/node/src/main/java/hookweir/net/StatusReporter.java
@@ -0,0 +1,57 @@
+package hookweir.net;
+
+import hookweir.Contract;
+import hookweir.net.admin.Figures;
+import hookweir.net.egress.Egress;
+import hookweir.net.ingress.Ingress;
+import hookweir.room.Room;
+
+/** Reports at intervals what the process holds: to the log, and to operators' figures. Belongs to the {@link Loop}. */
+final class StatusReporter {
+    private static final long LOG_INTERVAL_US = 10_000_000;
+    private static final long PUBLISH_INTERVAL_US = 200_000;
+
+    private final Loop loop;
+    private final Invariants invariants;
+    private final Figures figures;
+    private final Room room;
+    private final Ingress ingress;
+    private final Egress egress;
+    private final HeldRequests held;
+    private final Contract.Dispatcher module;
+
+    StatusReporter(Loop loop, Invariants invariants, Figures figures, Room room, Ingress ingress, Egress egress, HeldRequests held,
+            Contract.Dispatcher module) {
+        this.loop = loop;
+        this.invariants = invariants;
+        this.figures = figures;
+        this.room = room;
+        this.ingress = ingress;
+        this.egress = egress;
+        this.held = held;
+        this.module = module;
+    }
+
+    /** Begins to report. */
+    void start() {
+        loop.after(LOG_INTERVAL_US, this::logRegularly);
+        publishRegularly();
+    }
+
+    private void logRegularly() {
+        Log.line("held=" + held.size() + " ingress=" + ingress.size() + " egress=" + egress.size() + " bytes=" + room.bytes()
+            + " timers=" + loop.timers() + " " + invariants);
+        loop.after(LOG_INTERVAL_US, this::logRegularly);
+    }
+
+    private void publishRegularly() {
+        publish();
+        loop.after(PUBLISH_INTERVAL_US, this::publishRegularly);
+    }
+
+    /** Publishes the figures. The module is asked here, so that no operator waits for the loop. */
+    void publish() {
+        figures.held(room.bytes(), room.mostBytes(), room.jobs(), room.mostJobs());
+        figures.targets(egress.targets(), module.avoided(loop.nowUs()));
+    }
+}
