Check style and format in mvn verify: Checkstyle, Spotless, javac's warnings as errors

Both are part of the build now, and Spotless joins them. The two checkers are bound to the phase verify: a mere build (package) neither fetches nor runs them. Warnings are errors on Java 17 only, by a profile, as later compilers have further warnings that must not keep anybody from building. make lint is the same without the tests; make format lets Spotless put things right.

Spotless has steps in place of a formatting engine: imports in one order, none unused, spaces for tabs, no trailing spaces, an end of line at the end. An engine (google-java-format, palantir, Eclipse) would rewrite nearly every file at its own width; ours is 160 by Checkstyle. With these steps 8 files change, in the order of their imports alone. Checkstyle leaves out JMH's generated sources, which exist by the phase verify.

A trailing space, an unused import, a tab, a raw type and a line of 170 characters, one at a time, each end the build.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# build, test, lint, run: what a newcomer needs
-.PHONY: build test lint run clean lab capacity micro
+# build, test, lint, format, run: what a newcomer needs
+.PHONY: build test lint format run clean lab capacity micro
 
 # deploy/balancer.toml says how the program is built and started; these two follow it.
 build:
@@ -9,7 +9,10 @@
 	mvn -B verify
 
 lint:
-	mvn -B -q -P lint verify -DskipTests
+	mvn -B -q verify -DskipTests
+
+format:
+	mvn -B -q spotless:apply
 
 run: build
 	@sh -c "$$(sed -n 's/^run = "\([^"]*\)".*/\1/p' deploy/balancer.toml)"
--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -1,16 +1,16 @@
 package hookweir;
 
+import hookweir.Contract.Effect;
+import hookweir.Contract.Outcome;
+import hookweir.Contract.RequestClass;
+import hookweir.Contract.Scope;
+import hookweir.Contract.State;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import hookweir.Contract.Effect;
-import hookweir.Contract.Outcome;
-import hookweir.Contract.RequestClass;
-import hookweir.Contract.Scope;
-import hookweir.Contract.State;
 
 /**
  * Every decision of one dispatcher; the interface, with units and order of events, is in Contract.java.
--- a/core/src/test/java/hookweir/PolicyDrawTest.java
+++ b/core/src/test/java/hookweir/PolicyDrawTest.java
@@ -1,9 +1,9 @@
 package hookweir;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 import static hookweir.RecordingHost.settings;
 import static hookweir.RecordingHost.worker;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Collections;
 import org.junit.jupiter.api.Test;
--- a/core/src/test/java/hookweir/PolicyRulesTest.java
+++ b/core/src/test/java/hookweir/PolicyRulesTest.java
@@ -1,18 +1,18 @@
 package hookweir;
 
+import static hookweir.RecordingHost.settings;
+import static hookweir.RecordingHost.worker;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static hookweir.RecordingHost.settings;
-import static hookweir.RecordingHost.worker;
 
+import hookweir.Contract.Effect;
+import hookweir.Contract.Outcome;
 import java.util.HashSet;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import hookweir.Contract.Effect;
-import hookweir.Contract.Outcome;
 
 /** The four rules, and answers to failures. */
 class PolicyRulesTest {
--- a/lab/src/main/java/hookweir/lab/trace/TraceReader.java
+++ b/lab/src/main/java/hookweir/lab/trace/TraceReader.java
@@ -1,8 +1,8 @@
 package hookweir.lab.trace;
 
+import de.siegmar.fastcsv.reader.CsvParseException;
 import de.siegmar.fastcsv.reader.CsvReader;
 import de.siegmar.fastcsv.reader.CsvRecord;
-import de.siegmar.fastcsv.reader.CsvParseException;
 import java.io.BufferedInputStream;
 import java.io.EOFException;
 import java.io.FilterInputStream;
--- a/node/src/main/java/hookweir/adapter/Main.java
+++ b/node/src/main/java/hookweir/adapter/Main.java
@@ -1,8 +1,8 @@
 package hookweir.adapter;
 
 import java.io.BufferedInputStream;
-import java.io.FileInputStream;
 import java.io.FileDescriptor;
+import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
--- a/node/src/main/java/hookweir/adapter/Session.java
+++ b/node/src/main/java/hookweir/adapter/Session.java
@@ -1,12 +1,5 @@
 package hookweir.adapter;
 
-import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 import hookweir.Contract;
 import hookweir.Contract.Outcome;
 import hookweir.Contract.Report;
@@ -16,6 +9,13 @@
 import hookweir.Contract.Worker;
 import hookweir.Policy;
 import hookweir.config.ReportFields;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 
 /** Translates batches of the wire into events of {@link Contract} and its actions into replies. */
 final class Session {
--- a/node/src/test/java/hookweir/adapter/SessionTest.java
+++ b/node/src/test/java/hookweir/adapter/SessionTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import hookweir.Contract;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -14,7 +15,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import hookweir.Contract;
 
 /** The wire, on frames put together here from its layout. */
 class SessionTest {
--- a/node/src/test/java/hookweir/net/TestNode.java
+++ b/node/src/test/java/hookweir/net/TestNode.java
@@ -1,10 +1,10 @@
 package hookweir.net;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import hookweir.config.BadSetting;
 import hookweir.config.Config;
 import hookweir.config.ConfigReader;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
