Add the scale run: hollow workers and schedulers in simulated time

Nothing told what a scheduler's control traffic comes to at 1,100 workers. The lab's command scale runs the decision module on a virtual clock with hollow workers, a list service and a source of configuration changes, and counts messages and bytes on the wire for each role and kind.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # build, test, lint, run: what a newcomer needs
-.PHONY: build test lint run clean lab capacity micro
+.PHONY: build test lint run clean lab capacity scale micro
 
 # deploy/balancer.toml says how the program is built and started; these two follow it.
 build:
@@ -24,6 +24,10 @@
 capacity: lab
 	taskset -c 1-$$(($$(nproc) - 1)) java -jar lab/target/hookweir-lab.jar capacity $(ARGS)
 
+# Hollow workers and schedulers in simulated time, all sizes, loads and failures of docs/CAPACITY.md; some minutes.
+scale: lab
+	java -jar lab/target/hookweir-lab.jar scale --sweep --out target/scale $(ARGS)
+
 micro:
 	mvn -q -DskipTests -pl bench -am package
 	java -jar bench/target/hookweir-bench.jar -rf json -rff target/micro.json $(ARGS)
--- a/lab/src/main/java/hookweir/lab/Main.java
+++ b/lab/src/main/java/hookweir/lab/Main.java
@@ -30,7 +30,8 @@
         usage = "capacity: how many jobs a second one scheduler serves; saturate: minutes of full load, with memory for "
             + "each; check-history: the brief's rules on histories; mutate-history: breaks a kept one in every place; "
             + "two-lives: stops a scheduler at every point and judges both its lives; random-stops: does so under load, again and again; "
-            + "trace-inspect: what a public trace holds")
+            + "trace-inspect: what a public trace holds; "
+            + "scale: hollow workers and schedulers in simulated time, and what their messages come to")
     @SubCommands({
         @SubCommand(name = "capacity", impl = Capacity.class),
         @SubCommand(name = "saturate", impl = Saturate.class),
@@ -38,7 +39,8 @@
         @SubCommand(name = "mutate-history", impl = hookweir.lab.check.MutateHistory.class),
         @SubCommand(name = "two-lives", impl = hookweir.lab.lives.TwoLives.class),
         @SubCommand(name = "random-stops", impl = hookweir.lab.lives.RandomStops.class),
-        @SubCommand(name = "trace-inspect", impl = hookweir.lab.trace.Inspect.class)})
+        @SubCommand(name = "trace-inspect", impl = hookweir.lab.trace.Inspect.class),
+        @SubCommand(name = "scale", impl = hookweir.lab.scale.ScaleCommand.class)})
     private Command command;
 
     @Option(name = "--help", aliases = "-h", help = true, usage = "prints this")
--- /dev/null
+++ b/lab/src/main/java/hookweir/lab/scale/ScaleCommand.java
@@ -0,0 +1,87 @@
+package hookweir.lab.scale;
+
+import hookweir.lab.Main;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.kohsuke.args4j.Option;
+
+/** The lab's scale: hollow workers and schedulers in simulated time, and what their messages come to. */
+public final class ScaleCommand extends Main.Command {
+    private static final int BAD_VALUE = 2;
+
+    @Option(name = "--workers", usage = "hollow workers, 1 to 20000")
+    private int workers = Shape.target().workers();
+    @Option(name = "--schedulers", usage = "hollow schedulers, 1 to 1000")
+    private int schedulers = Shape.target().schedulers();
+    @Option(name = "--rate", usage = "jobs a second for each scheduler, above 0")
+    private double rate = Shape.target().jobsPerSecond();
+    @Option(name = "--service-ms", usage = "a task's mean running time, at least 1")
+    private long serviceMs = Shape.target().serviceMs();
+    @Option(name = "--full", usage = "share of the workers that others keep full at any moment, 0 to 0.95")
+    private double full = Shape.target().fullShare();
+    @Option(name = "--restarts", usage = "workers restarted an hour")
+    private double restarts = Shape.target().restartsPerHour();
+    @Option(name = "--changes", usage = "configuration changes an hour")
+    private double changes = Shape.target().changesPerHour();
+    @Option(name = "--seconds", usage = "simulated seconds that are counted, at least 3")
+    private int seconds = Shape.target().seconds();
+    @Option(name = "--failure", usage = "what goes wrong a third into them")
+    private Shape.Failure failure = Shape.Failure.NONE;
+    @Option(name = "--mechanism", usage = "PROBE_ALL is wrong on purpose, to show that the run sees it")
+    private Shape.Mechanism mechanism = Shape.Mechanism.AS_DECIDED;
+    @Option(name = "--seed", usage = "the same seed gives the same figures")
+    private long seed = Shape.target().seed();
+    @Option(name = "--sweep", usage = "all sizes, loads and failures of docs/CAPACITY.md, with slopes and charts, instead of one run")
+    private boolean sweep;
+    @Option(name = "--out", usage = "the folder for rows and charts")
+    private Path out = Path.of("target/scale");
+
+    @Override
+    protected String what() {
+        return "Hollow workers and schedulers, with the real decision module, in simulated time: messages and bytes of each role.\n"
+            + "example: java -jar lab/target/hookweir-lab.jar scale --workers 1100 --schedulers 100 --rate 4.4 --failure RACK\n"
+            + "example: java -jar lab/target/hookweir-lab.jar scale --sweep --out docs/capacity";
+    }
+
+    @Override
+    protected int run() throws IOException {
+        String fault = fault();
+        if (fault != null) {
+            System.err.println("hookweir-lab: " + fault);
+            return BAD_VALUE;
+        }
+        System.out.println(Row.header());
+        if (sweep) {
+            Sweep.run(out, seed);
+            return 0;
+        }
+        Shape target = Shape.target();
+        Shape shape = target.sized(workers, schedulers, rate).loaded(serviceMs, full).changing(restarts, changes)
+            .lasting(target.warmUpSeconds(), seconds).with(failure).with(mechanism).seeded(seed);
+        Row row = new World(shape).run().named(failure.name().toLowerCase(java.util.Locale.ROOT));
+        System.out.println(row.line());
+        ScaleReport.json(out, "run", List.of(row));
+        return 0;
+    }
+
+    private String fault() {
+        List<String> faults = new ArrayList<>();
+        check(faults, workers >= 1 && workers <= 20_000, "--workers must be 1 to 20000, not " + workers);
+        check(faults, schedulers >= 1 && schedulers <= 1000, "--schedulers must be 1 to 1000, not " + schedulers);
+        check(faults, rate > 0 && rate <= 10_000, "--rate must be above 0 and at most 10000, not " + rate);
+        check(faults, serviceMs >= 1 && serviceMs <= 3_600_000, "--service-ms must be 1 to 3600000, not " + serviceMs);
+        check(faults, full >= 0 && full <= 0.95, "--full must be 0 to 0.95, not " + full);
+        check(faults, restarts >= 0 && restarts <= 1e6, "--restarts must be 0 to 1000000, not " + restarts);
+        check(faults, changes >= 0 && changes <= 1e6, "--changes must be 0 to 1000000, not " + changes);
+        check(faults, seconds >= 3 && seconds <= 86_400, "--seconds must be 3 to 86400, not " + seconds);
+        return faults.isEmpty() ? null : String.join("; ", faults);
+    }
+
+    private static void check(List<String> faults, boolean holds, String fault) {
+        if (!holds) {
+            faults.add(fault);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/hookweir/lab/scale/ScaleReport.java
@@ -0,0 +1,46 @@
+package hookweir.lab.scale;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import org.knowm.xchart.style.Styler;
+import org.knowm.xchart.style.lines.SeriesLines;
+import org.knowm.xchart.style.markers.SeriesMarkers;
+
+/** Keeps rows as JSON and slopes as charts. */
+final class ScaleReport {
+    private static final int WIDTH = 1000;
+    private static final int HEIGHT = 600;
+
+    private ScaleReport() {
+    }
+
+    /** Writes NAME.json. */
+    static void json(Path folder, String name, Object rows) throws IOException {
+        Files.createDirectories(folder);
+        new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT).writeValue(folder.resolve(name + ".json").toFile(), rows);
+    }
+
+    /** Writes NAME.png: what was measured, and the fitted lines. */
+    static void chart(Path folder, String name, String title, String xTitle, String yTitle, List<Slope> slopes) throws IOException {
+        Files.createDirectories(folder);
+        XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(title).xAxisTitle(xTitle).yAxisTitle(yTitle).build();
+        chart.getStyler().setLegendPosition(Styler.LegendPosition.OutsideS);
+        chart.getStyler().setYAxisMin(0.0);
+        for (Slope slope : slopes) {
+            double[] x = slope.x();
+            chart.addSeries(slope.cost(), x, slope.y());
+            double[] ends = {Arrays.stream(x).min().orElse(0), Arrays.stream(x).max().orElse(0)};
+            chart.addSeries(slope.cost() + ", fitted below the target", ends, Arrays.stream(ends).map(slope::at).toArray())
+                .setMarker(SeriesMarkers.NONE).setLineStyle(SeriesLines.DASH_DASH);
+        }
+        BitmapEncoder.saveBitmap(chart, folder.resolve(name + ".png").toString(), BitmapEncoder.BitmapFormat.PNG);
+    }
+}
