Run sizes side by side, warm up past the first probes, and hold them against a real scheduler

Each scheduler asks every worker for the first time 37 to 62 s after its start, so rows of the first 80 s had 18 probes a second that do not recur.

--- a/lab/src/main/java/hookweir/lab/scale/HttpText.java
+++ b/lab/src/main/java/hookweir/lab/scale/HttpText.java
@@ -36,7 +36,8 @@
 
     static int callBack(String scheduler, String worker) {
         int body = ("{\"id\":\"" + ID + "\",\"from\":\"" + worker + "\",\"state\":\"done\",\"result\":\"\"}").length() + RESULT_BYTES;
-        String head = "POST /callback HTTP/1.1\r\nHost: " + scheduler + "\r\nContent-Type: application/json\r\nContent-Length: " + body + "\r\n\r\n";
+        String head = "POST /callback HTTP/1.1\r\nHost: " + scheduler + "\r\nContent-Type: application/json\r\nContent-Length: " + body
+            + "\r\n\r\n";
         return head.length() + body;
     }
 
@@ -74,7 +75,8 @@
             + "{\"name\":\"task\",\"aim_us\":25800000,\"deadline_us\":51600000,\"semantics\":\"read_like\",\"key_scope\":\"all\"},"
             + "{\"name\":\"accelerator\",\"aim_us\":25800000,\"deadline_us\":51600000,\"semantics\":\"read_like\",\"key_scope\":\"all\"}],"
             + "\"zones\":[\"a\",\"b\",\"c\",\"d\",\"e\",\"f\"],\"kinds\":[\"m\",\"g\"],\"discovery\":\"ask\",\"rules\":{\"ask_within_us\":4000000},"
-            + "\"stats\":{\"via\":\"pull\",\"fields\":[\"x0\"]},\"limits\":{\"max_attempts\":3,\"probes\":true,\"cancel\":true,\"retry_after\":true},\"orgs\":[");
+            + "\"stats\":{\"via\":\"pull\",\"fields\":[\"x0\"]},"
+            + "\"limits\":{\"max_attempts\":3,\"probes\":true,\"cancel\":true,\"retry_after\":true},\"orgs\":[");
         for (int team = 0; team < teams; team++) {
             text.append(team == 0 ? "" : ",").append("{\"name\":\"team-").append(team).append("\",\"allowance_per_s\":11.3,\"portion\":0.0256}");
         }
--- /dev/null
+++ b/lab/src/main/java/hookweir/lab/scale/RealRun.java
@@ -0,0 +1,75 @@
+package hookweir.lab.scale;
+
+import hookweir.lab.load.Bench;
+import hookweir.lab.load.Clients;
+import hookweir.lab.report.Step;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** One real scheduler, started as operators start it, among stand-in workers: what hollow ones are held against. */
+final class RealRun {
+    private static final long LEAST_AIM_MS = 1000;
+    private static final int AIM = 3;
+    private static final int CLIENTS = 256;
+    private static final int DESCRIPTORS = 1024;
+    private static final String CLASS = "job";
+    private static final double PERCENT = 100;
+
+    /** A span of the run. */
+    private enum Span {
+        START(20), FIRST_PROBES(60), SETTLING(120), STEADY(200);
+
+        private final int seconds;
+
+        Span(int seconds) {
+            this.seconds = seconds;
+        }
+    }
+
+    /**
+     * One span.
+     *
+     * @param cpuPercent of a core
+     * @param connectionsPerJob that workers accepted
+     * @param probeRequestBytes of HTTP
+     */
+    record RealRow(String span, int seconds, int workers, double jobsPerS, double servedPerS, double probesPerS, double connectionsPerJob,
+            double probeRequestBytes, double cpuPercent, double residentMb, double refusedShare, long failed, double p50Ms, double p99Ms) {
+    }
+
+    private RealRun() {
+    }
+
+    static void run(Path root, int workers, double rate, int serviceMs, Path out) throws IOException, InterruptedException {
+        long aimMs = Math.max(LEAST_AIM_MS, (long) AIM * serviceMs);
+        Clients.Plan plan = new Clients.Plan(CLIENTS, rate, HttpText.BODY_BYTES, 2 * aimMs, CLASS);
+        List<RealRow> rows = new ArrayList<>();
+        Bench.Setting setting = new Bench.Setting(root.toString(), -1, workers, serviceMs, HttpText.RESULT_BYTES, aimMs, DESCRIPTORS, "", false, null);
+        try (Bench bench = new Bench(setting)) {
+            Clients clients = bench.begin(plan);
+            for (Span span : Span.values()) {
+                rows.add(row(bench, clients, plan, span, workers));
+                System.out.println(rows.get(rows.size() - 1));
+            }
+            bench.end(clients);
+        }
+        ScaleReport.json(out, String.format(Locale.ROOT, "real-%d-%.4g", workers, rate), rows);
+    }
+
+    private static RealRow row(Bench bench, Clients clients, Clients.Plan plan, Span span, int workers) throws IOException, InterruptedException {
+        long connections = bench.fleet().connections();
+        long bytes = bench.fleet().probeBytes();
+        long probes = bench.fleet().probes();
+        double cpuS = bench.target().cpuS();
+        Step step = bench.next(clients, plan, span.seconds);
+        double seconds = span.seconds;
+        long newProbes = bench.fleet().probes() - probes;
+        return new RealRow(span.name().toLowerCase(Locale.ROOT), span.seconds, workers, plan.perSecond(), step.goodput(), newProbes / seconds,
+            (bench.fleet().connections() - connections) / Math.max(1, step.goodput() * seconds),
+            (bench.fleet().probeBytes() - bytes) / (double) Math.max(1, newProbes), PERCENT * (bench.target().cpuS() - cpuS) / seconds, step.residentMb(),
+            step.refusedShare(), step.failed(), step.p50(), step.p99());
+    }
+}
--- a/lab/src/main/java/hookweir/lab/scale/Row.java
+++ b/lab/src/main/java/hookweir/lab/scale/Row.java
@@ -11,10 +11,12 @@
  * @param name of the run
  * @param running tasks, mean
  * @param controlBytesPerS in and out of one scheduler
+ * @param controlPeakBytesPerS the same in the worst second, mean over schedulers
  * @param changeBytesPerS of that, for changes of the list
  * @param configurationBytesPerS of that, for the configuration
  * @param schedulerBytesPerS in and out of one scheduler, jobs and results too
  * @param listBytesPerS in and out of the list service
+ * @param listPeakBytesPerS the same in the worst second
  * @param probesPerWorkerS that one worker answers
  * @param wholeListBytes of one whole list with its request, those of the start included
  * @param probeConnectionsPerJob opened by schedulers for probes
@@ -28,8 +30,9 @@
  * @param inForceMaxS from a configuration change to its being in force at the last scheduler
  */
 record Row(String name, Shape shape, long jobs, double running, double probesPerJob, double probesPerS, double controlBytesPerS,
-        double changeBytesPerS, double configurationBytesPerS, double schedulerBytesPerS, double listBytesPerS, double probesPerWorkerS,
-        double wholeListBytes, double probeConnectionsPerJob, double jobConnectionsPerJob, double callBackConnectionsPerJob, double turnedAwayPerJob, double lostPerJob,
+        double controlPeakBytesPerS, double changeBytesPerS, double configurationBytesPerS, double schedulerBytesPerS, double listBytesPerS,
+        double listPeakBytesPerS, double probesPerWorkerS, double wholeListBytes, double probeConnectionsPerJob, double jobConnectionsPerJob,
+        double callBackConnectionsPerJob, double turnedAwayPerJob, double lostPerJob,
         double refusedPerJob, double failedPerJob, double unheardShare, double ageP50S, double ageP99S, double spread, double inForceP50S,
         double inForceMaxS, Map<String, Map<String, Traffic.Tally>> traffic) {
     private static final double LIMIT_BYTES_PER_S = 4096;
@@ -39,7 +42,7 @@
     private static final double TIMED_RATE = 0.02;
     private static final double MOST_PERCENT = 100;
 
-    static Row of(World world, Traffic traffic, double running) {
+    static Row of(World world, Traffic traffic, Peaks peaks) {
         Shape shape = world.shape;
         Figures figures = world.figures;
         double jobs = Math.max(1, figures.jobs);
@@ -50,10 +53,11 @@
         long probeConnections = traffic.of(Role.SCHEDULER, MessageKind.PROBE_CONNECTION).messages();
         long jobConnections = traffic.of(Role.SCHEDULER, MessageKind.JOB_CONNECTION).messages();
         long lost = figures.ended(Outcome.TIMEOUT) + figures.ended(Outcome.RESET) + figures.ended(Outcome.CONNECT_FAILED);
-        return new Row("", shape, figures.jobs, running, figures.probes / jobs, figures.probes / schedulerSeconds,
-            traffic.control(Role.SCHEDULER).bytes() / schedulerSeconds, change.bytes() / schedulerSeconds,
+        return new Row("", shape, figures.jobs, peaks.running(), figures.probes / jobs, figures.probes / schedulerSeconds,
+            traffic.control(Role.SCHEDULER).bytes() / schedulerSeconds, peaks.control() / (double) shape.schedulers(), change.bytes() / schedulerSeconds,
             configuration.bytes() / schedulerSeconds, all(traffic, Role.SCHEDULER) / schedulerSeconds,
-            traffic.control(Role.LIST_SERVICE).bytes() / (double) shape.seconds(), figures.probes / (double) shape.seconds() / shape.workers(),
+            traffic.control(Role.LIST_SERVICE).bytes() / (double) shape.seconds(), (double) peaks.list(),
+            figures.probes / (double) shape.seconds() / shape.workers(),
             whole.messages() == 0 ? 0 : whole.bytes() / (whole.messages() / 2.0), probeConnections / jobs, jobConnections / jobs,
             traffic.of(Role.WORKER, MessageKind.CALL_BACK_CONNECTION).messages() / jobs, figures.ended(Outcome.FULL) / jobs, lost / jobs,
             figures.refused / jobs, figures.failed / jobs, figures.unheard / (double) Math.max(1, figures.attempts),
@@ -72,10 +76,21 @@
         return mean == 0 ? 0 : Math.sqrt(variance) / mean;
     }
 
+    /**
+     * What was seen second by second.
+     *
+     * @param control bytes of all schedulers in the worst second
+     * @param list bytes of the list service in the worst second
+     * @param running tasks, mean
+     */
+    record Peaks(long control, long list, double running) {
+    }
+
     /** With a name. */
     Row named(String newName) {
-        return new Row(newName, shape, jobs, running, probesPerJob, probesPerS, controlBytesPerS, changeBytesPerS, configurationBytesPerS,
-            schedulerBytesPerS, listBytesPerS, probesPerWorkerS, wholeListBytes, probeConnectionsPerJob, jobConnectionsPerJob, callBackConnectionsPerJob,
+        return new Row(newName, shape, jobs, running, probesPerJob, probesPerS, controlBytesPerS, controlPeakBytesPerS, changeBytesPerS,
+            configurationBytesPerS, schedulerBytesPerS, listBytesPerS, listPeakBytesPerS, probesPerWorkerS, wholeListBytes, probeConnectionsPerJob,
+            jobConnectionsPerJob, callBackConnectionsPerJob,
             turnedAwayPerJob, lostPerJob, refusedPerJob, failedPerJob, unheardShare, ageP50S, ageP99S, spread, inForceP50S, inForceMaxS, traffic);
     }
 
@@ -97,14 +112,16 @@
 
     /** The columns of {@link #line}. */
     static String header() {
-        return String.format("%-22s %7s %6s %6s %7s %7s %8s %8s %8s %8s %8s %8s %8s %8s %8s %8s %7s %7s", "run", "workers", "scheds", "jobs/s", "running",
-            "probe/s", "ctl B/s", "list B/s", "prb-c/j", "job-c/j", "cb-c/j", "full/job", "lost/job", "ref/job", "age p50", "age p99", "unheard", "spread");
+        return String.format("%-24s %7s %6s %6s %7s %7s %8s %8s %9s", "run", "workers", "scheds", "jobs/s", "running", "probe/s", "ctl B/s", "ctl peak",
+            "list B/s") + String.format(" %8s %8s %8s %8s %8s %8s %8s %8s %7s %7s", "prb-c/j", "job-c/j", "cb-c/j", "full/job", "lost/job", "ref/job",
+            "age p50", "age p99", "unheard", "spread");
     }
 
     /** One line of the table. */
     String line() {
-        return String.format(Locale.ROOT, "%-22s %7d %6d %6.2f %7.0f %7.2f %8.0f %8.0f %8.3f %8.3f %8.3f %8.4f %8.4f %8.4f %7.2fs %7.2fs %7.3f %7.3f", name,
-            shape.workers(), shape.schedulers(), shape.jobsPerSecond(), running, probesPerS, controlBytesPerS, listBytesPerS, probeConnectionsPerJob,
-            jobConnectionsPerJob, callBackConnectionsPerJob, turnedAwayPerJob, lostPerJob, refusedPerJob + failedPerJob, ageP50S, ageP99S, unheardShare, spread);
+        return String.format(Locale.ROOT, "%-24s %7d %6d %6.2f %7.0f %7.2f %8.0f %8.0f %9.0f", name, shape.workers(), shape.schedulers(),
+            shape.jobsPerSecond(), running, probesPerS, controlBytesPerS, controlPeakBytesPerS, listBytesPerS)
+            + String.format(Locale.ROOT, " %8.3f %8.3f %8.3f %8.4f %8.4f %8.4f %7.2fs %7.2fs %7.3f %7.3f", probeConnectionsPerJob, jobConnectionsPerJob,
+            callBackConnectionsPerJob, turnedAwayPerJob, lostPerJob, refusedPerJob + failedPerJob, ageP50S, ageP99S, unheardShare, spread);
     }
 }
--- a/lab/src/main/java/hookweir/lab/scale/ScaleCommand.java
+++ b/lab/src/main/java/hookweir/lab/scale/ScaleCommand.java
@@ -35,6 +35,10 @@
     private long seed = Shape.target().seed();
     @Option(name = "--sweep", usage = "all sizes, loads and failures of docs/CAPACITY.md, with slopes and charts, instead of one run")
     private boolean sweep;
+    @Option(name = "--real", usage = "one real scheduler as a process among stand-in workers, for some minutes, instead of hollow ones")
+    private boolean real;
+    @Option(name = "--root", usage = "with --real, the folder with deploy/balancer.toml")
+    private Path root = Path.of(".");
     @Option(name = "--out", usage = "the folder for rows and charts")
     private Path out = Path.of("target/scale");
 
@@ -46,12 +50,16 @@
     }
 
     @Override
-    protected int run() throws IOException {
+    protected int run() throws IOException, InterruptedException {
         String fault = fault();
         if (fault != null) {
             System.err.println("hookweir-lab: " + fault);
             return BAD_VALUE;
         }
+        if (real) {
+            RealRun.run(root, workers, rate, (int) serviceMs, out);
+            return 0;
+        }
         System.out.println(Row.header());
         if (sweep) {
             Sweep.run(out, seed);
--- a/lab/src/main/java/hookweir/lab/scale/Shape.java
+++ b/lab/src/main/java/hookweir/lab/scale/Shape.java
@@ -28,6 +28,8 @@
     /** Share of the tasks that need an accelerator. */
     static final double ACCELERATOR_SHARE = 0.2;
     private static final double HOURS_A_DAY = 24;
+    /** Each scheduler asks each worker for the first time 37 to 62 s after its start, and idle ones 200 s apart from then on. */
+    private static final int WARM_UP_S = 200;
 
     /** What goes wrong. */
     enum Failure {
@@ -52,7 +54,7 @@
 
     /** The target: 1,100 workers, 440 starts a second, about 3,800 tasks running. */
     static Shape target() {
-        return new Shape(1100, 100, 4.4, 8600, 0, 147 / HOURS_A_DAY, 3700 / HOURS_A_DAY, 10_000, 20, 60, Failure.NONE, Mechanism.AS_DECIDED, 1);
+        return new Shape(1100, 100, 4.4, 8600, 0, 147 / HOURS_A_DAY, 3700 / HOURS_A_DAY, 10_000, WARM_UP_S, 200, Failure.NONE, Mechanism.AS_DECIDED, 1);
     }
 
     /** So many workers, schedulers and jobs a second for each. */
--- a/lab/src/main/java/hookweir/lab/scale/Sweep.java
+++ b/lab/src/main/java/hookweir/lab/scale/Sweep.java
@@ -3,9 +3,14 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.function.DoubleFunction;
 import java.util.function.ToDoubleFunction;
 
@@ -24,9 +29,11 @@
     /** A day's restarts within an hour. */
     private static final double TARGET_RESTARTS = 147;
     private static final double[] RESTARTS = {TARGET_RESTARTS / 8, TARGET_RESTARTS / 4, TARGET_RESTARTS / 2, TARGET_RESTARTS, 2 * TARGET_RESTARTS};
-    /** Schedulers in the runs that vary another size: a scheduler's costs do not hang on their number, see the slope over it. */
+    /** Schedulers in the runs that vary another size. */
     private static final int FEW = 20;
     private static final long SHORT_MS = 500;
+    private static final int THREADS = 4;
+    private static final String BYTES_PER_S = "bytes a second, TCP and IP counted";
     private static final int LONG_S = 600;
     private static final double WORKERS_PER_SCHEDULER = (double) TARGET_WORKERS / TARGET_SCHEDULERS;
 
@@ -63,7 +70,7 @@
         fit("connections a job, 60% full", "workers", TARGET_WORKERS, full, size, Row::newConnectionsPerJob);
         fit("age p99 s, 60% full", "workers", TARGET_WORKERS, full, size, Row::ageP99S);
         Slope whole = fit("bytes of a whole list", "workers", TARGET_WORKERS, light, size, Row::wholeListBytes);
-        ScaleReport.chart(out, "control-by-workers", "Control traffic of one scheduler at 4.4 jobs/s", "workers", "bytes a second, TCP and IP counted", control);
+        ScaleReport.chart(out, "control-by-workers", "Control traffic of one scheduler at 4.4 jobs/s", "workers", BYTES_PER_S, control);
         ScaleReport.chart(out, "whole-list", "One whole list, as each start takes it", "workers", "bytes, TCP and IP counted", List.of(whole));
         List<Row> fleet = series("fleet", WORKERS, x -> target.sized((int) x, (int) Math.round(x / WORKERS_PER_SCHEDULER), TARGET_RATE));
         fit("running tasks", "workers, schedulers and jobs as one", TARGET_WORKERS, fleet, size, Row::running);
@@ -81,7 +88,7 @@
         Shape few = target.sized(TARGET_WORKERS, FEW, TARGET_RATE).loaded(SHORT_MS, 0);
         List<Row> rates = series("rate", RATES, x -> few.sized(TARGET_WORKERS, FEW, x));
         ToDoubleFunction<Row> rate = row -> row.shape().jobsPerSecond();
-        ScaleReport.chart(out, "control-by-rate", "Control traffic of one scheduler, 1,100 workers, light", "jobs a second", "bytes a second, TCP and IP counted",
+        ScaleReport.chart(out, "control-by-rate", "Control traffic of one scheduler, 1,100 workers, light", "jobs a second", BYTES_PER_S,
             List.of(fit("control B/s", "jobs/s", TARGET_RATE, rates, rate, Row::controlBytesPerS)));
         fit("probes/s", "jobs/s", TARGET_RATE, rates, rate, Row::probesPerS);
         List<Row> full = series("share full", FULL, x -> few.loaded(SHORT_MS, x));
@@ -92,32 +99,47 @@
         fit("configuration B/s", "changes/h", TARGET_CHANGES, changes, row -> row.shape().changesPerHour(), Row::configurationBytesPerS);
         List<Row> restarts = series("restarts", RESTARTS, x -> quiet.changing(x, 0));
         fit("list change B/s", "restarts/h", TARGET_RESTARTS, restarts, row -> row.shape().restartsPerHour(), Row::changeBytesPerS);
-        for (double eight : new double[] {4.4, 8}) {
-            add("4.4 and 8, light", few.sized(TARGET_WORKERS, FEW, eight));
-            add("4.4 and 8, 60% full", few.loaded(SHORT_MS, FULL_TARGET).sized(TARGET_WORKERS, FEW, eight));
-        }
+        double[] both = {TARGET_RATE, 8};
+        series("4.4 and 8, light", both, x -> few.sized(TARGET_WORKERS, FEW, x));
+        series("4.4 and 8, 60% full", both, x -> few.loaded(SHORT_MS, FULL_TARGET).sized(TARGET_WORKERS, FEW, x));
     }
 
     private void failures() {
+        Map<String, Shape> runs = new LinkedHashMap<>();
         for (Shape.Failure failure : Shape.Failure.values()) {
-            add("target " + failure.name().toLowerCase(Locale.ROOT), target.with(failure));
+            runs.put("target " + failure.name().toLowerCase(Locale.ROOT), target.with(failure));
         }
-        add("120 schedulers", target.sized(TARGET_WORKERS, 120, TARGET_RATE * TARGET_SCHEDULERS / 120));
+        runs.put("target first minute", target.lasting(0, 60));
+        runs.put("120 schedulers", target.sized(TARGET_WORKERS, 120, TARGET_RATE * TARGET_SCHEDULERS / 120));
+        runAll(runs);
     }
 
     private List<Row> series(String name, double[] sizes, DoubleFunction<Shape> shape) {
-        List<Row> series = new ArrayList<>();
+        Map<String, Shape> runs = new LinkedHashMap<>();
         for (double size : sizes) {
-            series.add(add(name, shape.apply(size)));
+            runs.put(String.format(Locale.ROOT, "%s %.4g", name, size), shape.apply(size));
         }
-        return series;
+        return runAll(runs);
     }
 
-    private Row add(String name, Shape shape) {
-        Row row = new World(shape).run().named(name);
-        System.out.println(row.line());
-        rows.add(row);
-        return row;
+    /** Each run is a world of its own, so some may run beside each other; rows come in the order of the runs. */
+    private List<Row> runAll(Map<String, Shape> runs) {
+        ExecutorService threads = Executors.newFixedThreadPool(THREADS);
+        try {
+            List<Future<Row>> futures = new ArrayList<>();
+            runs.forEach((name, shape) -> futures.add(threads.submit(() -> new World(shape).run().named(name))));
+            List<Row> series = new ArrayList<>();
+            for (Future<Row> future : futures) {
+                series.add(future.get());
+                System.out.println(series.get(series.size() - 1).line());
+            }
+            rows.addAll(series);
+            return series;
+        } catch (InterruptedException | ExecutionException e) {
+            throw new IllegalStateException(e);
+        } finally {
+            threads.shutdownNow();
+        }
     }
 
     private Slope fit(String cost, String against, double at, List<Row> series, ToDoubleFunction<Row> size, ToDoubleFunction<Row> value) {
@@ -134,8 +156,8 @@
             for (double residual : s.residuals()) {
                 residuals.append(String.format(Locale.ROOT, "%.4g ", residual));
             }
-            System.out.printf(Locale.ROOT, "%-32s %-36s %10.4g %12.4g %8.2g %6.3f %11.4g %11.4g  %s%n", s.cost(), s.against(), s.intercept(), s.slope(),
-                s.slopeError(), s.rSquare(), s.predicted(), s.measured(), residuals);
+            System.out.printf(Locale.ROOT, "%-32s %-36s %10.4g %12.4g %8.2g %6.3f %11.4g %11.4g  %s%n", s.cost(), s.against(), s.intercept(),
+                s.slope(), s.slopeError(), s.rSquare(), s.predicted(), s.measured(), residuals);
         }
         System.out.println(Map.of("rows", rows.size(), "slopes", slopes.size()) + " in " + out);
     }
--- a/lab/src/main/java/hookweir/lab/scale/World.java
+++ b/lab/src/main/java/hookweir/lab/scale/World.java
@@ -30,8 +30,6 @@
     final ConfigurationSource configuration;
     private final HollowScheduler[] schedulers;
     private final Random random;
-    private long runningSum;
-    private int runningSamples;
 
     World(Shape shape) {
         this.shape = shape;
@@ -65,12 +63,18 @@
         figures.clear();
         workers.forEach(worker -> worker.tasks = 0);
         queue.after(shape.seconds() * SECOND_US / 3, this::fail);
+        long running = 0;
+        long controlPeak = 0;
+        long listPeak = 0;
         for (int second = 1; second <= shape.seconds(); second++) {
+            long control = traffic.control(Role.SCHEDULER).bytes();
+            long listed = traffic.control(Role.LIST_SERVICE).bytes();
             queue.runUntil((shape.warmUpSeconds() + second) * SECOND_US);
-            runningSum += workers.stream().filter(worker -> !worker.silent).mapToInt(HollowWorker::busy).sum();
-            runningSamples++;
+            controlPeak = Math.max(controlPeak, traffic.control(Role.SCHEDULER).bytes() - control);
+            listPeak = Math.max(listPeak, traffic.control(Role.LIST_SERVICE).bytes() - listed);
+            running += workers.stream().filter(worker -> !worker.silent).mapToInt(HollowWorker::busy).sum();
         }
-        return Row.of(this, traffic.since(before), (double) runningSum / runningSamples);
+        return Row.of(this, traffic.since(before), new Row.Peaks(controlPeak, listPeak, (double) running / shape.seconds()));
     }
 
     // ---- what happens ----
--- a/lab/src/main/java/hookweir/lab/standin/Fleet.java
+++ b/lab/src/main/java/hookweir/lab/standin/Fleet.java
@@ -47,6 +47,8 @@
     private InetSocketAddress scheduler;
     private volatile long begun;
     private volatile long probes;
+    private volatile long probeBytes;
+    private volatile long connections;
     private volatile long twice;
     private volatile long dropped;
 
@@ -100,6 +102,16 @@
         return probes;
     }
 
+    /** Bytes of the probes' requests so far. */
+    public long probeBytes() {
+        return probeBytes;
+    }
+
+    /** Connections that workers accepted so far. */
+    public long connections() {
+        return connections;
+    }
+
     /** Attempts of a job that some worker had already. */
     public long twice() {
         return twice;
@@ -135,6 +147,7 @@
             this.name = name;
             this.busy = busy;
             this.had = had;
+            connections++;
         }
 
         @Override
@@ -158,6 +171,7 @@
                 }
             } else if (head.startsWith("GET ")) {
                 probes++;
+                probeBytes += head.length();
                 String report = "x0=" + Math.max(0, slots - busy[0]);
                 write("HTTP/1.1 200 OK\r\nContent-Length: " + report.length() + "\r\n\r\n" + report);
             } else {
