--- a/lab/src/main/java/hookweir/lab/scale/Sweep.java
+++ b/lab/src/main/java/hookweir/lab/scale/Sweep.java
@@ -20,6 +20,7 @@
     private static final int TARGET_SCHEDULERS = Shape.target().schedulers();
     private static final double TARGET_RATE = Shape.target().jobsPerSecond();
     private static final double[] WORKERS = {140, 275, 550, TARGET_WORKERS, 2 * TARGET_WORKERS};
+    private static final double[] SMALL = {10, 20, 40, 70, 100};
     private static final double[] SCHEDULERS = {12, 25, 50, TARGET_SCHEDULERS, 2 * TARGET_SCHEDULERS};
     private static final double[] RATES = {0.55, 1.1, 2.2, TARGET_RATE, 2 * TARGET_RATE};
     private static final double[] FULL = {0, 0.15, 0.3, 0.45, 0.6, 0.75};
@@ -52,6 +53,8 @@
         sweep.workers();
         sweep.others();
         sweep.failures();
+        sweep.small();
+        sweep.besideReal();
         ScaleReport.json(out, "rows", sweep.rows);
         ScaleReport.json(out, "slopes", sweep.slopes);
         sweep.print();
@@ -64,6 +67,11 @@
         ToDoubleFunction<Row> size = row -> row.shape().workers();
         List<Slope> control = List.of(fit("control B/s, light", "workers", TARGET_WORKERS, light, size, Row::controlBytesPerS),
             fit("control B/s, 60% full", "workers", TARGET_WORKERS, full, size, Row::controlBytesPerS));
+        ToDoubleFunction<Row> logarithm = row -> Math.log(row.shape().workers());
+        fit("control B/s, light", "ln workers", Math.log(TARGET_WORKERS), light, logarithm, Row::controlBytesPerS);
+        fit("control B/s, 60% full", "ln workers", Math.log(TARGET_WORKERS), full, logarithm, Row::controlBytesPerS);
+        fit("connections a job, light", "ln workers", Math.log(TARGET_WORKERS), light, logarithm, Row::newConnectionsPerJob);
+        fit("connections a job, 60% full", "ln workers", Math.log(TARGET_WORKERS), full, logarithm, Row::newConnectionsPerJob);
         fit("probes/s, light", "workers", TARGET_WORKERS, light, size, Row::probesPerS);
         fit("probes/s, 60% full", "workers", TARGET_WORKERS, full, size, Row::probesPerS);
         fit("connections a job, light", "workers", TARGET_WORKERS, light, size, Row::newConnectionsPerJob);
@@ -114,6 +122,26 @@
         runAll(runs);
     }
 
+    /** Where the bounds are passed: two schedulers of 4.4 jobs/s each, whose tasks fit on ten workers. */
+    private void small() {
+        Shape two = target.sized(TARGET_WORKERS, 2, TARGET_RATE).loaded(SHORT_MS, 0);
+        series("small, light", SMALL, x -> two.sized((int) x, 2, TARGET_RATE));
+        series("small, 60% full", SMALL, x -> two.loaded(SHORT_MS, FULL_TARGET).sized((int) x, 2, TARGET_RATE));
+    }
+
+    /** One scheduler in the sizes and spans of {@link RealRun}. */
+    private void besideReal() {
+        Shape one = target.sized(TARGET_WORKERS, 1, TARGET_RATE).loaded(SHORT_MS, 0);
+        Map<String, Shape> runs = new LinkedHashMap<>();
+        for (double jobs : new double[] {TARGET_RATE, 8, 40}) {
+            for (int workers : jobs == TARGET_RATE ? new int[] {100, TARGET_WORKERS} : new int[] {TARGET_WORKERS}) {
+                runs.put(String.format(Locale.ROOT, "as real, s 20-80, %d", runs.size()), one.sized(workers, 1, jobs).lasting(20, 60));
+                runs.put(String.format(Locale.ROOT, "as real, s 200-400, %d", runs.size()), one.sized(workers, 1, jobs));
+            }
+        }
+        runAll(runs);
+    }
+
     private List<Row> series(String name, double[] sizes, DoubleFunction<Shape> shape) {
         Map<String, Shape> runs = new LinkedHashMap<>();
         for (double size : sizes) {
