--- a/lab/src/main/java/hookweir/lab/scale/HollowScheduler.java
+++ b/lab/src/main/java/hookweir/lab/scale/HollowScheduler.java
@@ -64,6 +64,7 @@
     private final Contract.Settings settings;
     private final Policy policy;
     private final LinkPool links;
+    private final Room room;
     private final Map<Integer, Job> jobs = new HashMap<>();
     /** When the figures last heard of each worker were made; negative where none was heard. */
     private final long[] figureUs;
@@ -85,7 +86,7 @@
         policy = new Policy(settings, seed, this);
         figureUs = new long[world.workers.size()];
         java.util.Arrays.fill(figureUs, -1);
-        Room room = new Room(HELD_BYTES, HELD_JOBS);
+        room = new Room(HELD_BYTES, HELD_JOBS);
         room.descriptors(DESCRIPTORS);
         links = new LinkPool(queue, world.network, traffic, zone, room, this::accepted, () -> world.workers.size());
         stopPolling = world.configuration.poll(() -> policy.retune(queue.nowUs(), settings));
@@ -266,7 +267,7 @@
         });
     }
 
-    /** Connections on which workers called not long ago. */
+    /** Connections on which workers called not long ago, as far as they are kept. */
     private int accepted() {
         if (queue.nowUs() >= acceptedUs + ACCEPTED_EVERY_US) {
             acceptedUs = queue.nowUs();
@@ -274,7 +275,7 @@
             callers.values().removeIf(Deque::isEmpty);
             accepted = callers.values().stream().mapToInt(Deque::size).sum();
         }
-        return accepted;
+        return Math.min(accepted, room.mostAccepted(links.open()));
     }
 
     @Override
