--- a/lab/src/test/java/hookweir/lab/scale/ScaleRunTest.java
+++ b/lab/src/test/java/hookweir/lab/scale/ScaleRunTest.java
@@ -9,10 +9,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A small scale run: what it counts, and that a wrong mechanism is seen. */
 class ScaleRunTest {
     private static final int SCHEDULERS = 6;
+    /** A call is counted as its request and its answer. */
+    private static final int CALL = 2;
     private static final int SECONDS = 30;
 
     private static Shape small() {
@@ -34,6 +37,16 @@
         assertNotEquals(first.traffic(), new World(small().seeded(2)).run().traffic());
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {1, 10, 1100, 10_000})
+    void eachSizeOfFleetServes(int workers) {
+        Row row = new World(Shape.target().sized(workers, 2, 1).loaded(500, 0).changing(0, 0).lasting(10, 20)).run();
+        assertTrue(row.jobs() > 20, row.jobs() + " jobs");
+        assertEquals(0, row.failedPerJob() + row.lostPerJob());
+        assertTrue(row.keepsProbes(), row.probesPerS() + " probes a second");
+        assertEquals(2 * CALL, new World(row.shape().lasting(0, 10)).run().traffic().get("list_service").get("whole_list").messages());
+    }
+
     @ParameterizedTest
     @EnumSource(Shape.Failure.class)
     void whatOneRoleSendsAnotherGets(Shape.Failure failure) {
@@ -63,7 +76,7 @@
     @Test
     void schedulersThatStartAnewTakeOneWholeListEach() {
         Row row = new World(small().changing(0, 0).with(Shape.Failure.SCHEDULERS_RESTART)).run();
-        assertEquals(2 * SCHEDULERS, tally(row, Role.SCHEDULER, MessageKind.WHOLE_LIST).messages());
+        assertEquals(CALL * SCHEDULERS, tally(row, Role.SCHEDULER, MessageKind.WHOLE_LIST).messages());
     }
 
     @Test
