Ride links that have not rested where waits are dear, and hold answers that may be an earlier call's

Change: the newest link on which no second answer can come is used, else the one that rested longest; waits for rest come out of a token bucket, and are always made at a worker that answered twice in the last minute. On a link used within 70 ms a refusal is held until no second answer can come, and a 202 is in doubt until a call-back: another answer makes it a reset. The idle link that was used longest ago of all workers makes room, one that never carried a job first. A call that waited is looked at again.

--- a/core/src/main/java/hookweir/room/Room.java
+++ b/core/src/main/java/hookweir/room/Room.java
@@ -23,6 +23,7 @@
 
     /** Of all descriptors, what links to workers may take at most, and what is always left to them. */
     public static final double LINKS_SHARE = 0.45;
+    private static final double AMPLE = 0.85;
     private static final double LINKS_LEAST = 0.2;
     /** Of accepted connections, what clients may take: the others are workers', whose calls end jobs. */
     private static final double CLIENTS_SHARE = 0.75;
@@ -77,6 +78,11 @@
         return (int) (descriptors * LINKS_SHARE / 2);
     }
 
+    /** Links may be kept beyond what is worth it, as nobody needs their descriptors. */
+    public boolean isAmple(int links, int accepted) {
+        return links + accepted < descriptors * AMPLE;
+    }
+
     /** Another link may be made beside these and the accepted connections. */
     public boolean mayDial(int links, int accepted) {
         return links < descriptors * LINKS_SHARE && links + accepted < descriptors;
--- a/node/src/main/java/hookweir/net/Errand.java
+++ b/node/src/main/java/hookweir/net/Errand.java
@@ -13,6 +13,8 @@
 abstract class Errand implements Link.Handler {
     private static final byte[] NOTHING = new byte[0];
     private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+    private static final String PROBE = "GET";
     /** An answer later than the limit is read to keep the link, for so many limits. */
     private static final int PATIENCE_LIMITS = 4;
 
@@ -65,6 +67,11 @@
         egress.link(target, this, links);
     }
 
+    @Override
+    public boolean isWanted() {
+        return !over;
+    }
+
     @Override
     public void noLink() {
         end(Outcome.CONNECT_FAILED, null);
@@ -96,6 +103,14 @@
 
     @Override
     public void piece(Link l, Link.Piece piece) {
+        if (piece.status() == ACCEPTED && method.equals(PROBE)) {
+            // No answer to a probe: a second one to the job that this link carried before.
+            egress.strayed();
+            if (piece.last()) {
+                l.goesOn();
+            }
+            return;
+        }
         if (body.size() <= Transport.MOST_BODY_BYTES) {
             body.writeBytes(piece.bytes());
         }
--- a/node/src/main/java/hookweir/net/Hop.java
+++ b/node/src/main/java/hookweir/net/Hop.java
@@ -10,7 +10,7 @@
  * One attempt: from {@link SocketHost#send} to its one outcome. Owns the link that it is sent on until the
  * worker's answer is whole. Belongs to the loop.
  */
-final class Hop implements Link.Handler {
+final class Hop implements Link.Handler, Link.Taken {
     /** The answer to a call for which nobody waits any more is read for so long, to keep the link. */
     private static final long PATIENCE_US = 5_000_000;
 
@@ -36,6 +36,12 @@
     private TimerWheel.Timer limit;
     /** The wait for a 202, then for the end of an answer that nobody needs. */
     private TimerWheel.Timer patience;
+    /** An answer before this may be the second one to an earlier call on the link. */
+    private long doubtUntilUs;
+    /** A refusal or failure that may be an earlier call's: it waits to be told from one. */
+    private Link.Piece held;
+    /** The link whose 202 may have been an earlier call's, until a call-back shows that the worker has the job. */
+    private Link takenInDoubt;
 
     Hop(SocketHost host, Egress egress, Exchange exchange, int workerId, EgressTarget target, int number,
             long startUs) {
@@ -57,6 +63,11 @@
         }
     }
 
+    @Override
+    public boolean isWanted() {
+        return !over();
+    }
+
     @Override
     public void noLink() {
         over(Outcome.CONNECT_FAILED, null, null);
@@ -96,6 +107,8 @@
             return;
         }
         stage = Stage.SENDING;
+        doubtUntilUs = up.secondAnswerUntilUs;
+        up.taken(host.loop().nowUs() < doubtUntilUs ? up.taken() : null);
         var from = exchange.from;
         var h = from.headers();
         long leftMs = Math.max(1, (exchange.request.giveUpAtUs - host.loop().nowUs()) / 1000);
@@ -161,19 +174,63 @@
         if (!piece.last()) {
             return;
         }
+        boolean doubtful = host.loop().nowUs() < doubtUntilUs;
+        if (waiting && doubtful && status != TAKEN) {
+            held = piece;
+            wait(doubtUntilUs - host.loop().nowUs(), () -> accept(l, piece));
+            return;
+        }
+        if (waiting && doubtful) {
+            takenInDoubt = l;
+            l.taken(this);
+        }
+        accept(l, piece);
+    }
+
+    /** The answer is this attempt's. */
+    private void accept(Link l, Link.Piece piece) {
+        boolean refused = stage == Stage.SENDING || stage == Stage.SENT;
+        held = null;
         egress.used(l, false);
         egress.settles(target, l, piece.keepAlive());
         letGo();
-        if (!waiting || stage == Stage.TAKEN) {
+        if (!refused) {
             return;
         }
-        if ((status == 503 || status == 504) && piece.declined()) {
+        if ((piece.status() == 503 || piece.status() == 504) && piece.declined()) {
             over(Outcome.FULL, host.report(piece.load()), null);
         } else {
             over(Outcome.ERROR, host.report(piece.load()), null);
         }
     }
 
+    /** Two answers came to this attempt and the one before it on the link: nobody knows which is whose. */
+    @Override
+    public void unasked(Link l, int status) {
+        egress.answeredTwice(target, l);
+    }
+
+    /** The 202 may have been another's and the worker may not have the job: as if the connection had broken before it. */
+    @Override
+    public void inDoubt() {
+        if (stage != Stage.TAKEN) {
+            return;
+        }
+        if (host.cancels()) {
+            tellWorker(Outcome.RESET);
+        } else {
+            over(Outcome.RESET, null, null);
+        }
+    }
+
+    /** A call-back shows that the worker has the job. */
+    void known() {
+        if (takenInDoubt != null && takenInDoubt.taken() == this) {
+            takenInDoubt.taken(null);
+        }
+        takenInDoubt = null;
+    }
+
     @Override
     public void down(Link l) {
         egress.used(l, true);
@@ -188,7 +245,13 @@
 
     /** A call-back that ends it. */
     void told(Outcome outcome, Report report, byte[] result) {
-        if (link != null && !over()) {
+        if (held != null) {
+            // The worker had taken it, so the answer that is held was another's.
+            Link l = link;
+            egress.answeredTwice(target, l);
+            letGo();
+            egress.end(l);
+        } else if (link != null && !over()) {
             endLater(link); // it came before the 202
         }
         over(outcome, report, result);
@@ -214,6 +277,7 @@
     /** The link is no longer this hop's, and so is nothing to wait for on it. */
     private void letGo() {
         link = null;
+        held = null;
         if (patience != null) {
             patience.cancel();
         }
@@ -241,6 +305,7 @@
             return;
         }
         stage = Stage.OVER;
+        known();
         if (limit != null) {
             limit.cancel();
         }
--- a/node/src/main/java/hookweir/net/Link.java
+++ b/node/src/main/java/hookweir/net/Link.java
@@ -26,6 +26,15 @@
         default void written(Link link) {
         }
 
+        /** The call is still to be made; asked before a link is used or dialled for it after a wait. */
+        default boolean isWanted() {
+            return true;
+        }
+
+        /** An answer came while no call was out; {@link #down} follows. */
+        default void unasked(Link link, int status) {
+        }
+
         /** No link came free in time; there was none to dial by. Nothing follows. */
         default void noLink() {
         }
@@ -50,6 +59,12 @@
     public record Piece(int status, boolean declined, String load, boolean keepAlive, byte[] bytes, boolean last) {
     }
 
+    /** A call that was told that its job is taken by an answer that may have been another call's. */
+    public interface Taken {
+        /** It showed that answers were mixed up. */
+        void inDoubt();
+    }
+
     /** How far its life has come; it only ever goes on. */
     private enum Phase {
         DIALLING,
@@ -77,11 +92,14 @@
     private Future<?> dial = new CompletableFuture<>();
     private TimerWheel.Timer linger;
     private Runnable onClosed;
+    private Taken taken;
 
     /** Set by its pool when it was last put aside. */
     public long idleSinceUs;
-    /** Set by its pool: no call goes on it before, as a second answer to its last one may be on the way. */
+    /** Set by its pool: it rests until then where that is affordable, as a second answer may be on the way. */
     public long settledUs;
+    /** Set by its pool: until then an answer may be the second one to an earlier call. */
+    public long secondAnswerUntilUs;
     /** Set by its pool: a call waits for it to settle. */
     public boolean reserved;
     /** Set by its pool: it carried a call before the present one. */
@@ -172,6 +190,7 @@
         }
         if (!calling) {
             // An answer that nobody asked for: the next call's answer could not be told from it.
+            handler.unasked(this, piece.status);
             fallDown();
             return;
         }
@@ -251,6 +270,16 @@
         calling = true;
     }
 
+    /** The last call whose 202 may have been another's; null where there is none or its job is over. */
+    public Taken taken() {
+        return taken;
+    }
+
+    /** Sets or, by null, clears the last call whose 202 may have been another's. */
+    public void taken(Taken newTaken) {
+        taken = newTaken;
+    }
+
     private void enterDown() {
         boolean lingered = phase == Phase.LINGERING;
         phase = Phase.DOWN;
--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -377,6 +377,7 @@
             invariants.count("call-backs for nothing");
             return;
         }
+        hop.known();
         Report report = loadReport.ofJson(told.load());
         switch (told.state()) {
             case "started" -> module.progress(loop.nowUs(), x.request.id, hop.number, hop.workerId, 0);
--- a/node/src/main/java/hookweir/net/egress/Egress.java
+++ b/node/src/main/java/hookweir/net/egress/Egress.java
@@ -14,6 +14,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.IntSupplier;
@@ -26,13 +27,22 @@
     public static final double SETTLED = 1;
     /** Any kept link: another call's answer does no harm either. */
     public static final double ANY = 2;
+    private static final int ACCEPTED = 202;
+    /** Of answers that could be any call's. */
+    private static final int NO_STATUS = 0;
     private static final long SWEEP_US = 500_000;
     private static final double IDLE_SHARE = 0.9;
     private static final long IDLE_MARGIN_US = 1_000_000;
     private static final int MOST_IDLE = 8;
     private static final double BREAKS_GAIN = 0.1;
-    /** A worker's second answer to a job comes within this of its first, if it comes. */
-    private static final long SETTLE_US = 30_000;
+    /** A link rests for so long after an answer that could be a job's, where that is affordable. */
+    private static final long REST_US = 30_000;
+    /** A second answer comes within this of the first, if it comes: until then an answer on the link may be another call's. */
+    private static final long SECOND_ANSWER_US = 70_000;
+    /** Links to a worker that answered twice always rest, until it has not done so for this long. */
+    private static final long ANSWERS_TWICE_US = 60_000_000;
+    /** Calls that wait for a free link, over all workers; beyond it a call gets none. */
+    private static final int MOST_WAITING = 1024;
     /** With so many that rest at one target its calls come so close that none is waited for. */
     private static final int MANY_RESTING = 4;
     /** Links that were ended and linger: their descriptors come out of the process's own. */
@@ -53,6 +63,11 @@
     /** A running mean: the share of kept links that broke under their next call. */
     private double keptBreaks;
     private int lingering;
+    /** Idle links that carried a job and whose they are, the one that was used longest ago first. */
+    private final Map<Link, EgressTarget> idleByAge = new LinkedHashMap<>();
+    /** Those that never carried a job, in the same order: they are the first to make room. */
+    private final Map<Link, EgressTarget> idleOfProbes = new LinkedHashMap<>();
+    private final RestBudget restBudget = new RestBudget();
 
     /** A call that waits for a link. */
     private static final class Waiter {
@@ -125,13 +140,17 @@
     }
 
     private void endIdle(EgressTarget t) {
-        for (Link link = t.idle.poll(); link != null; link = t.idle.poll()) {
+        while (!t.idle.isEmpty()) {
+            Link link = t.idle.peek();
+            takeIdle(t, link);
             end(link);
         }
     }
 
     /**
-     * Gets a link to the target: the newest idle one at once, else by a dial.
+     * Gets a link to the target: the newest idle one on which no second answer can come any more, else the one that rested
+     * longest, else by a dial. A call waits for a link to rest where that is affordable; it rides one that does not where
+     * {@link Link#secondAnswerUntilUs} lets the caller tell whose an answer is.
      *
      * @param mostBreaks the share of kept links that may break under their next call for one to be used all the
      *     same; or {@link #NONE}, {@link #SETTLED}, {@link #ANY}
@@ -139,49 +158,26 @@
      *     and is told when it gets it, or that it gets none in the time that a dial may take
      */
     public Link link(EgressTarget target, Link.Handler handler, double mostBreaks) {
+        Link rested = keptBreaks > mostBreaks ? null : mostRested(target);
         long now = loop.nowUs();
-        Link settling = null;
-        int resting = 0;
-        for (Iterator<Link> it = target.idle.iterator(); it.hasNext() && keptBreaks <= mostBreaks;) {
-            Link link = it.next();
-            if (link.reserved) {
-                continue;
-            }
-            if (mostBreaks < ANY && link.settledUs > now && link.isFree()) {
-                resting++;
-                settling = settling == null || link.settledUs < settling.settledUs ? link : settling;
-                continue;
-            }
-            it.remove();
-            if (link.isFree()) {
-                return reused(link, handler);
-            }
-            end(link);
-        }
-        if (resting >= MANY_RESTING) {
-            // So busy a worker would need dials without end: the one that rested longest has to do.
-            target.idle.remove(settling);
-            return reused(settling, handler);
+        if (rested != null && (rested.settledUs <= now || mostBreaks >= ANY)) {
+            return reused(target, rested, handler);
         }
-        if (settling != null) {
-            // At no cost to the worker, unlike a dial. Each waits for one of its own: who finds none dials.
-            Link own = settling;
-            own.reserved = true;
-            loop.after(own.settledUs - now, () -> {
-                own.reserved = false;
-                link(target, handler, mostBreaks);
-            });
+        boolean mustRest = target.answersTwice(now);
+        if (rested != null) {
+            boolean waits = mustRest || target.idle.size() < MANY_RESTING && restBudget.take(now);
+            if (!waits) {
+                return reused(target, rested, handler);
+            }
+            awaitRest(target, rested, handler, mostBreaks);
             return null;
         }
-        if (!room.mayDial(open.size(), accepted.getAsInt()) && !evict()) {
-            invariants.count("egress waits for a link");
-            Waiter w = new Waiter(target, handler, mostBreaks);
-            waiting.add(w);
-            w.limit = loop.after(dialLimitUs, () -> {
-                waiting.remove(w);
-                invariants.count("egress out of links");
-                handler.noLink();
-            });
+        boolean mayDial = mayDial();
+        if (!mayDial && !mustRest && keptBreaks <= mostBreaks && !target.idle.isEmpty()) {
+            return reused(target, target.idle.peekLast(), handler); // all are reserved: whoever waits for this one looks again
+        }
+        if (!mayDial && !evict()) {
+            awaitFree(target, handler, mostBreaks);
             return null;
         }
         invariants.count("egress dials");
@@ -190,7 +186,95 @@
         return link;
     }
 
-    private static Link reused(Link link, Link.Handler handler) {
+    /** The newest idle link on which no second answer can come, which leaves the oldest to their end; else the oldest; or null. */
+    private Link mostRested(EgressTarget target) {
+        Link chosen = oldestIdle(target);
+        if (chosen != null && chosen.secondAnswerUntilUs <= loop.nowUs()) {
+            chosen = newestQuiet(target, chosen);
+        }
+        if (chosen == null || chosen.isFree()) {
+            return chosen;
+        }
+        takeIdle(target, chosen); // the worker ended it, which was not told yet
+        end(chosen);
+        return mostRested(target);
+    }
+
+    private static Link oldestIdle(EgressTarget target) {
+        for (Iterator<Link> it = target.idle.descendingIterator(); it.hasNext();) {
+            Link link = it.next();
+            if (!link.reserved) {
+                return link;
+            }
+        }
+        return null;
+    }
+
+    private Link newestQuiet(EgressTarget target, Link otherwise) {
+        long now = loop.nowUs();
+        for (Link link : target.idle) {
+            if (!link.reserved && link.secondAnswerUntilUs <= now) {
+                return link;
+            }
+        }
+        return otherwise;
+    }
+
+    /** At no cost to the worker, unlike a dial. Each call waits for a link of its own, and is looked at again before it goes. */
+    private void awaitRest(EgressTarget target, Link own, Link.Handler handler, double mostBreaks) {
+        invariants.count("egress waits for rest");
+        own.reserved = true;
+        loop.after(own.settledUs - loop.nowUs(), () -> {
+            own.reserved = false;
+            linkLater(target, handler, mostBreaks);
+        });
+    }
+
+    private void linkLater(EgressTarget target, Link.Handler handler, double mostBreaks) {
+        if (!handler.isWanted()) {
+            invariants.count("egress calls gone before their rest");
+            return;
+        }
+        if (targets.get(target.id) == target) {
+            link(target, handler, mostBreaks);
+        } else {
+            handler.noLink();
+        }
+    }
+
+    private void awaitFree(EgressTarget target, Link.Handler handler, double mostBreaks) {
+        if (waiting.size() >= MOST_WAITING) {
+            invariants.count("egress out of links");
+            loop.post(handler::noLink);
+            return;
+        }
+        invariants.count("egress waits for a link");
+        Waiter w = new Waiter(target, handler, mostBreaks);
+        waiting.add(w);
+        w.limit = loop.after(dialLimitUs, () -> {
+            waiting.remove(w);
+            invariants.count("egress out of links");
+            handler.noLink();
+        });
+    }
+
+    private void takeIdle(EgressTarget target, Link link) {
+        if (target.idle.peekLast() == link) {
+            target.idle.pollLast();
+        } else {
+            target.idle.remove(link);
+        }
+        idleByAge.remove(link);
+        idleOfProbes.remove(link);
+    }
+
+    private boolean mayDial() {
+        return room.mayDial(open.size(), accepted.getAsInt());
+    }
+
+    private Link reused(EgressTarget target, Link link, Link.Handler handler) {
+        takeIdle(target, link);
+        link.reserved = false;
         link.kept = true;
         link.rest(handler);
         handler.up(link);
@@ -207,16 +291,16 @@
             if (!w.target.idle.isEmpty()) {
                 waiting.remove(w);
                 w.limit.cancel();
-                link(w.target, w.handler, w.mostBreaks);
+                linkLater(w.target, w.handler, w.mostBreaks);
             }
         }
         for (Waiter w = waiting.peek(); w != null; w = waiting.peek()) {
-            if (w.target.idle.isEmpty() && !room.mayDial(open.size(), accepted.getAsInt()) && !evict()) {
+            if (w.target.idle.isEmpty() && !mayDial() && !evict()) {
                 return;
             }
             waiting.remove();
             w.limit.cancel();
-            link(w.target, w.handler, w.mostBreaks);
+            linkLater(w.target, w.handler, w.mostBreaks);
         }
     }
 
@@ -229,16 +313,22 @@
 
     /** Keeps to the descriptors that there are. */
     public void fit() {
-        while (!room.mayDial(open.size(), accepted.getAsInt()) && evict()) {
+        while (!mayDial() && evict()) {
             invariants.count("egress closed at the cap");
         }
     }
 
+    /** Ends the idle link that was used longest ago, of whichever worker. */
     private boolean evict() {
-        for (EgressTarget t : targets.values()) {
-            Link oldest = t.idle.pollLast();
-            if (oldest != null) {
-                end(oldest);
+        return evict(idleOfProbes) || evict(idleByAge);
+    }
+
+    private boolean evict(Map<Link, EgressTarget> idle) {
+        for (Map.Entry<Link, EgressTarget> oldest : idle.entrySet()) {
+            if (!oldest.getKey().reserved) {
+                Link link = oldest.getKey();
+                takeIdle(oldest.getValue(), link);
+                end(link);
                 return true;
             }
         }
@@ -266,28 +356,62 @@
         link.rest(new Link.Handler() {
             @Override
             public void piece(Link l, Link.Piece piece) {
-                invariants.count("egress answer without a call");
-                target.idle.remove(l);
-                end(l);
+                // none comes without a call: see unasked
+            }
+
+            @Override
+            public void unasked(Link l, int status) {
+                answeredTwice(target, l, status);
             }
 
             @Override
             public void down(Link l) {
-                target.idle.remove(l);
+                takeIdle(target, l);
                 open.remove(l);
+                freed();
             }
         });
         target.idle.addFirst(link);
+        (link.secondAnswerUntilUs > 0 ? idleByAge : idleOfProbes).put(link, target);
         freed();
-        // Links that a busy worker needs all the time are not worth dialling anew for each job.
-        if (target.idle.size() > Math.max(MOST_IDLE, room.mostIdleLinks() / targets.size())) {
-            end(target.idle.pollLast());
+        trim(target);
+    }
+
+    /** Links that a busy worker needs all the time are not worth dialling anew for each job, so its share is kept to in need only. */
+    private void trim(EgressTarget target) {
+        int share = Math.max(MOST_IDLE, room.mostIdleLinks() / targets.size());
+        if (target.idle.size() > share && !room.isAmple(open.size(), accepted.getAsInt())) {
+            Link oldest = target.idle.peekLast();
+            takeIdle(target, oldest);
+            end(oldest);
         }
     }
 
+    /**
+     * A worker answered a call twice, as an outlier does: its links rest after each job for a while. What the last call of
+     * this link was told by a 202 that may have been another's is in doubt, unless this answer is a 202 too.
+     */
+    void answeredTwice(EgressTarget target, Link link, int status) {
+        invariants.count("egress answer without a call");
+        target.answeredTwice(loop.nowUs() + ANSWERS_TWICE_US);
+        Link.Taken last = link.taken();
+        if (last != null && status != ACCEPTED) {
+            invariants.count("egress answers in doubt");
+            link.taken(null);
+            last.inDoubt();
+        }
+    }
+
+    /** A second answer came on a link whose call has one that waits to be told from it. */
+    public void answeredTwice(EgressTarget target, Link link) {
+        answeredTwice(target, link, NO_STATUS);
+    }
+
     /** Takes a link back after an answer that could be a job's: it carries no other until a second one would have come. */
     public void settles(EgressTarget target, Link link, boolean keepAlive) {
-        link.settledUs = loop.nowUs() + SETTLE_US;
+        long now = loop.nowUs();
+        link.settledUs = now + (target.answersTwice(now) ? SECOND_ANSWER_US : REST_US);
+        link.secondAnswerUntilUs = now + SECOND_ANSWER_US;
         release(target, link, keepAlive);
     }
 
@@ -324,6 +448,8 @@
                     break;
                 }
                 it.remove();
+                idleByAge.remove(link);
+                idleOfProbes.remove(link);
                 end(link);
             }
         }
--- a/node/src/main/java/hookweir/net/egress/EgressTarget.java
+++ b/node/src/main/java/hookweir/net/egress/EgressTarget.java
@@ -16,6 +16,7 @@
     private InetSocketAddress address;
     private String host;
     private Contract.State state;
+    private long answersTwiceUntilUs;
 
     EgressTarget(String name, int id) {
         this.name = name;
@@ -37,6 +38,16 @@
         return state == Contract.State.READY;
     }
 
+    /** It answered a call twice, so its links rest after each job until then. */
+    void answeredTwice(long untilUs) {
+        answersTwiceUntilUs = untilUs;
+    }
+
+    /** Its links always rest after a job. */
+    boolean answersTwice(long nowUs) {
+        return nowUs < answersTwiceUntilUs;
+    }
+
     void update(InetSocketAddress newAddress, Contract.State newState) {
         if (!newAddress.equals(address)) {
             host = Link.host(newAddress);
--- a/node/src/test/java/hookweir/net/LinksTest.java
+++ b/node/src/test/java/hookweir/net/LinksTest.java
@@ -13,6 +13,7 @@
 import com.sun.management.UnixOperatingSystemMXBean;
 import hookweir.Contract;
 import hookweir.net.egress.Egress;
+import hookweir.net.egress.EgressTarget;
 import hookweir.room.Room;
 import java.io.InputStream;
 import java.lang.management.ManagementFactory;
@@ -22,16 +23,20 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** What workers do to connections at the wrong moment: late ones, second answers, answers across a decision, moved addresses. */
 @Timeout(30)
 final class LinksTest {
+    private static final int JOBS = 20_000;
     private static final InetAddress HERE = InetAddress.getLoopbackAddress();
 
     /** Fills the backlog of a door that nobody opens: whoever dials it hears nothing. */
@@ -237,8 +242,12 @@
         };
 
         Pool() throws Exception {
+            this(100);
+        }
+
+        Pool(int descriptors) throws Exception {
             Room room = new Room(1 << 20, 100);
-            room.descriptors(100);
+            room.descriptors(descriptors);
             egress = new Egress(bare.loop, bare.dialer, invariants, 20_000_000, 20_000_000, room, () -> 0);
             bare.loop.post(() -> egress.told(1, "s-01", new InetSocketAddress(HERE, door.getLocalPort()), Contract.State.READY));
         }
@@ -247,6 +256,46 @@
             bare.loop.post(() -> egress.link(egress.target(1), recorder, Egress.SETTLED));
         }
 
+        /** Accepts whatever is dialled, until the door is closed. */
+        void acceptAll() {
+            List<Socket> accepted = new ArrayList<>();
+            try {
+                while (true) {
+                    accepted.add(door.accept());
+                }
+            } catch (java.io.IOException closed) {
+                accepted.clear();
+            }
+        }
+
+        /** So many jobs are under way at a time, at workers of the seed's choice; each that ends begins another. The number of jobs. */
+        long play(int workers, int underWay, Random random) throws Exception {
+            CountDownLatch over = new CountDownLatch(JOBS);
+            bare.loop.post(() -> {
+                for (int i = 0; i < underWay; i++) {
+                    begin(workers, random, over);
+                }
+            });
+            over.await();
+            return JOBS;
+        }
+
+        private void begin(int workers, Random random, CountDownLatch over) {
+            EgressTarget target = egress.target(1 + random.nextInt(workers));
+            egress.link(target, new Silent() {
+                @Override
+                public void up(Link link) {
+                    bare.loop.post(() -> {
+                        egress.settles(target, link, true);
+                        over.countDown();
+                        if (over.getCount() > 0) {
+                            begin(workers, random, over);
+                        }
+                    });
+                }
+            }, Egress.SETTLED);
+        }
+
         /** Of two calls one waits for the link to settle, and the other dials. */
         void settlesForOne(Link first) throws Exception {
             link();
@@ -297,6 +346,37 @@
         }
     }
 
+    /** A worker under load is not dialled for each job: so many jobs under way, each ended in an order that a seed forces. */
+    @ParameterizedTest
+    @CsvSource({"1,4", "1,256", "10,64", "100,256"})
+    void aBusyWorkerIsNotDialledForEachJob(int workers, int underWay) throws Exception {
+        try (Pool pool = new Pool(8192)) {
+            for (int w = 2; w <= workers; w++) {
+                int id = w;
+                pool.bare.loop.post(() -> pool.egress.told(id, "s-" + id, new InetSocketAddress(HERE, pool.door.getLocalPort()),
+                    Contract.State.READY));
+            }
+            Thread acceptor = new Thread(pool::acceptAll);
+            acceptor.setDaemon(true);
+            acceptor.start();
+            long jobs = pool.play(workers, underWay, new Random(7));
+            long dials = pool.invariants.counted("egress dials");
+            assertTrue(dials < 0.05 * jobs, dials + " dials for " + jobs + " jobs");
+        }
+    }
+
+    /** Two links are all that the descriptors allow: jobs share them, and neither is ended for the sake of the next job. */
+    @Test
+    void twoLinksAreSharedWhereThereCanBeNoMore() throws Exception {
+        try (Pool pool = new Pool(4)) {
+            Thread acceptor = new Thread(pool::acceptAll);
+            acceptor.setDaemon(true);
+            acceptor.start();
+            pool.play(1, 2, new Random(7));
+            assertEquals(2, pool.invariants.counted("egress dials"));
+        }
+    }
+
     /** A check's second answer that is no 200 could be a job's: it ended one as failed, and left it running. */
     @Test
     void aLinkThatCarriedACheckThatFailedSettlesToo() throws Exception {
