--- /dev/null
+++ b/lab/src/main/java/hookweir/lab/Compare.java
@@ -0,0 +1,86 @@
+package hookweir.lab;
+
+import hookweir.lab.load.Bench;
+import hookweir.lab.load.Clients;
+import hookweir.lab.load.ClosedLoop;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
+import org.kohsuke.args4j.Option;
+
+/** Builds of the scheduler under the same closed loops, in turn within one run: only ratios within a run can be compared. */
+public final class Compare extends LoadCommand {
+    @Option(name = "--builds", usage = "folders with a built scheduler, separated by commas; the first is the reference")
+    private String builds = ".";
+    @Option(name = "--fleets", usage = "numbers of workers, separated by commas")
+    private String fleets = "10,100,1000";
+    @Option(name = "--crowds", usage = "numbers of clients, separated by commas")
+    private String crowds = "16,64,256";
+    @Option(name = "--turns", usage = "how often each build has its turn")
+    private int turns = 5;
+    @Option(name = "--seconds", usage = "length of a span")
+    private double seconds = 3;
+    @Option(name = "--warm-seconds", usage = "before the first span of a process")
+    private double warmSeconds = 2;
+
+    /** One row of the table. */
+    private record Cell(int fleet, int crowd, String build) implements Comparable<Cell> {
+        @Override
+        public int compareTo(Cell o) {
+            int byFleet = Integer.compare(fleet, o.fleet);
+            int byCrowd = Integer.compare(crowd, o.crowd);
+            return byFleet != 0 ? byFleet : byCrowd != 0 ? byCrowd : build.compareTo(o.build);
+        }
+    }
+
+    private final Map<Cell, List<ClosedLoop.Result>> results = new TreeMap<>();
+
+    @Override
+    protected String what() {
+        return "Builds of the scheduler under closed loops, in turn: medians and spreads of jobs/s, p99 and dials.\n"
+            + "example: java -jar lab/target/hookweir-lab.jar compare --builds ../before,. --fleets 10,100 --crowds 64 --turns 5";
+    }
+
+    @Override
+    protected int run() throws IOException, InterruptedException {
+        for (int turn = 0; turn < turns; turn++) {
+            for (String fleet : fleets.split(",")) {
+                for (String build : builds.split(",")) {
+                    play(Integer.parseInt(fleet), build);
+                }
+            }
+        }
+        System.out.println("| workers | clients | build | jobs/s | p99 ms | dials for each 100 jobs | probes' dials | CPU us a job |\n"
+            + "| --- | --- | --- | --- | --- | --- | --- | --- |");
+        results.forEach((cell, all) -> System.out.printf(Locale.ROOT, "| %d | %d | %s | %s | %s | %s | %s | %s |%n", cell.fleet, cell.crowd, cell.build,
+            spread(all, "%.0f", r -> r.step().goodput()), spread(all, "%.1f", r -> r.step().p99()),
+            spread(all, "%.1f", ClosedLoop.Result::dialsPer100), spread(all, "%.1f", ClosedLoop.Result::probeDialsPer100),
+            spread(all, "%.0f", r -> r.step().cpuUs())));
+        return 0;
+    }
+
+    private void play(int fleet, String build) throws IOException, InterruptedException {
+        try (Bench bench = bench(build, fleet)) {
+            double warm = warmSeconds;
+            for (String crowd : crowds.split(",")) {
+                Clients.Plan plan = new Clients.Plan(Integer.parseInt(crowd), 0, body, deadlineMs, "job");
+                ClosedLoop.Result result = ClosedLoop.run(bench, plan, warm, seconds);
+                warm = Math.min(warm, 1);
+                results.computeIfAbsent(new Cell(fleet, plan.connections(), build), c -> new ArrayList<>()).add(result);
+                System.out.printf(Locale.ROOT, "%s, %d workers, %s clients: %.0f jobs/s, p99 %.1f ms, %.1f and %.1f dials, %.0f us%n", build, fleet, crowd,
+                    result.step().goodput(), result.step().p99(), result.dialsPer100(), result.probeDialsPer100(), result.step().cpuUs());
+            }
+        }
+    }
+
+    /** The median and, in brackets, the least and the most. */
+    private static String spread(List<ClosedLoop.Result> all, String format, ToDoubleFunction<ClosedLoop.Result> figure) {
+        double[] sorted = all.stream().mapToDouble(figure).sorted().toArray();
+        return String.format(Locale.ROOT, format + " (" + format + " to " + format + ")", sorted[sorted.length / 2], sorted[0],
+            sorted[sorted.length - 1]);
+    }
+}
--- a/lab/src/main/java/hookweir/lab/LoadCommand.java
+++ b/lab/src/main/java/hookweir/lab/LoadCommand.java
@@ -25,6 +25,8 @@
     protected long deadlineMs = 5000;
     @Option(name = "--sockets", usage = "limits.sockets of the scheduler")
     protected int sockets = 1024;
+    @Option(name = "--via", usage = "how workers report their load: pull, by probes all the time, or silent, without")
+    protected String via = "pull";
     @Option(name = "--flags", usage = "further flags of the scheduler's JVM")
     protected String flags = "";
 
@@ -42,6 +44,11 @@
 
     /** The scheduler with its stand-ins, started. */
     protected final Bench bench() throws IOException, InterruptedException {
-        return new Bench(new Bench.Setting(root, cpu, workers, serviceMs, result, deadlineMs / 2, sockets, flags, freshCalls, record));
+        return bench(root, workers);
+    }
+
+    /** The same with the scheduler of that folder and so many stand-ins. */
+    protected final Bench bench(String ofRoot, int ofWorkers) throws IOException, InterruptedException {
+        return new Bench(new Bench.Setting(ofRoot, cpu, ofWorkers, serviceMs, result, deadlineMs / 2, sockets, via, flags, freshCalls, record));
     }
 }
--- a/lab/src/main/java/hookweir/lab/Main.java
+++ b/lab/src/main/java/hookweir/lab/Main.java
@@ -28,11 +28,13 @@
 
     @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class,
         usage = "capacity: how many jobs a second one scheduler serves; saturate: minutes of full load, with memory for "
-            + "each; check-history: the brief's rules on histories; mutate-history: breaks a kept one in every place; "
+            + "each; compare: builds in turn under closed loops; "
+            + "check-history: the brief's rules on histories; mutate-history: breaks a kept one in every place; "
             + "two-lives: stops a scheduler at every point and judges both its lives; random-stops: does so under load, again and again; "
             + "trace-inspect: what a public trace holds")
     @SubCommands({
         @SubCommand(name = "capacity", impl = Capacity.class),
+        @SubCommand(name = "compare", impl = Compare.class),
         @SubCommand(name = "saturate", impl = Saturate.class),
         @SubCommand(name = "check-history", impl = hookweir.lab.check.CheckHistory.class),
         @SubCommand(name = "mutate-history", impl = hookweir.lab.check.MutateHistory.class),
--- a/lab/src/main/java/hookweir/lab/load/Bench.java
+++ b/lab/src/main/java/hookweir/lab/load/Bench.java
@@ -25,11 +25,12 @@
      * @param cpu the scheduler's processor, or -1
      * @param serviceMs how long each job takes
      * @param aimMs the class's aim; its deadline is twice as long
+     * @param via how workers report their load: pull or silent
      * @param flags further flags for the scheduler's JVM
      * @param freshCalls each call-back goes on a connection of its own
      * @param record where a history of all that clients and stand-ins see is written, or null
      */
-    public record Setting(String root, int cpu, int workers, int serviceMs, int resultBytes, long aimMs, int sockets, String flags,
+    public record Setting(String root, int cpu, int workers, int serviceMs, int resultBytes, long aimMs, int sockets, String via, String flags,
             boolean freshCalls, Path record) {
     }
 
@@ -54,7 +55,7 @@
         witness = recorder == null ? Witness.NONE : recorder;
         witness.saw(Event.of(What.LIFE, "", "", PROCESS).how("start"));
         fleet = new Fleet(workers, s.workers, 64, s.serviceMs * 1_000_000L, s.resultBytes, s.freshCalls, witness);
-        target = Target.scheduler(Path.of(s.root), s.cpu, fleet.list(), s.aimMs, s.sockets, s.flags);
+        target = Target.scheduler(Path.of(s.root), s.cpu, fleet.list(), s.aimMs, s.sockets, s.via, s.flags);
         fleet.tells(Fleet.local(target.port()));
     }
 
--- a/lab/src/main/java/hookweir/lab/load/Target.java
+++ b/lab/src/main/java/hookweir/lab/load/Target.java
@@ -40,13 +40,15 @@
      * @param cpu the processor, or -1 for any
      * @param listPort where the list of workers is served
      * @param aimMs the class's aim, with its deadline twice as long
+     * @param via how workers report their load, as the configuration has it
      * @param flags further flags of the JVM, later ones win
      */
-    public static Target scheduler(Path root, int cpu, int listPort, long aimMs, int sockets, String flags) throws IOException, InterruptedException {
+    public static Target scheduler(Path root, int cpu, int listPort, long aimMs, int sockets, String via, String flags)
+            throws IOException, InterruptedException {
         int port = Ports.free();
         Path folder = Files.createTempDirectory("hookweir-load");
         Path config = folder.resolve("config.json");
-        Files.writeString(config, config(port, listPort, aimMs, sockets));
+        Files.writeString(config, config(port, listPort, aimMs, sockets, via));
         String run = runLine(root).replace(" -jar ", " " + flags + " -Xlog:gc:file=" + folder.resolve("gc.log") + ":none -jar ");
         return started(root, cpu, run, Map.of("RELAY_CONFIG", config.toString(), "TMPDIR", folder.toString()), port, folder);
     }
@@ -98,11 +100,11 @@
         return line.group(1);
     }
 
-    private static String config(int port, int listPort, long aimMs, int sockets) {
+    private static String config(int port, int listPort, long aimMs, int sockets, String via) {
         return ("{'name':'load','listen':'127.0.0.1:" + port + "','discovery':'127.0.0.1:" + listPort + "','seed':'1',"
             + "'limits':{'sockets':" + sockets + "},'settings':{'classes':[{'name':'job','aim_us':" + aimMs * 1000 + ",'deadline_us':"
             + 2 * aimMs * 1000 + ",'semantics':'read_like','key_scope':'all'}],'zones':['a'],'kinds':['m'],'discovery':'ask',"
-            + "'rules':{'ask_within_us':4000000},'stats':{'via':'pull','fields':['x0']},'limits':{'max_attempts':" + MAX_ATTEMPTS + ",'probes':true,"
+            + "'rules':{'ask_within_us':4000000},'stats':{'via':'" + via + "','fields':['x0']},'limits':{'max_attempts':" + MAX_ATTEMPTS + ",'probes':true,"
             + "'cancel':true,'retry_after':true,'max_retry_after_us':1000000,'dial_timeout_us':250000,'conn_idle_us':10000000}}}").replace('\'', '"');
     }
 
--- a/lab/src/main/java/hookweir/lab/standin/Fleet.java
+++ b/lab/src/main/java/hookweir/lab/standin/Fleet.java
@@ -47,6 +47,8 @@
     private InetSocketAddress scheduler;
     private volatile long begun;
     private volatile long probes;
+    private volatile long dials;
+    private volatile long probeDials;
     private volatile long twice;
     private volatile long dropped;
 
@@ -100,6 +102,16 @@
         return probes;
     }
 
+    /** Of the connections to workers, those whose first call was a probe or a notice. */
+    public long probeDials() {
+        return probeDials;
+    }
+
+    /** Connections to workers over which anything was called so far. */
+    public long dials() {
+        return dials;
+    }
+
     /** Attempts of a job that some worker had already. */
     public long twice() {
         return twice;
@@ -130,6 +142,7 @@
         private final int[] busy;
         /** Ids that this worker got, where somebody writes them down. */
         private final Set<String> had;
+        private boolean counted;
 
         Worker(String name, int[] busy, Set<String> had) {
             this.name = name;
@@ -139,6 +152,11 @@
 
         @Override
         protected void message(String head, byte[] body) {
+            if (!counted) {
+                counted = true;
+                probeDials += head.startsWith("POST ") ? 0 : 1;
+                dials++;
+            }
             if (head.startsWith("POST ")) {
                 begun++;
                 String id = header(head, "Req-Id");
