--- a/node/src/main/java/hookweir/net/Hop.java
+++ b/node/src/main/java/hookweir/net/Hop.java
@@ -207,7 +207,8 @@
     /** Two answers came to this attempt and the one before it on the link: nobody knows which is whose. */
     @Override
     public void unasked(Link l, int status) {
-        egress.answeredTwice(target, l);
+        // The one that was held decides where the other is a 202: either may be the earlier call's.
+        egress.answeredTwice(target, l, held == null ? status : held.status());
     }
 
     /** The 202 may have been another's and the worker may not have the job: as if the connection had broken before it. */
@@ -248,7 +249,7 @@
         if (held != null) {
             // The worker had taken it, so the answer that is held was another's.
             Link l = link;
-            egress.answeredTwice(target, l);
+            egress.answeredTwice(target, l, held.status());
             letGo();
             egress.end(l);
         } else if (link != null && !over()) {
--- a/node/src/main/java/hookweir/net/egress/Egress.java
+++ b/node/src/main/java/hookweir/net/egress/Egress.java
@@ -6,15 +6,12 @@
 import hookweir.net.Link;
 import hookweir.net.Loop;
 import hookweir.room.Room;
-import hookweir.timer.TimerWheel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.IntSupplier;
@@ -28,8 +25,6 @@
     /** Any kept link: another call's answer does no harm either. */
     public static final double ANY = 2;
     private static final int ACCEPTED = 202;
-    /** Of answers that could be any call's. */
-    private static final int NO_STATUS = 0;
     private static final long SWEEP_US = 500_000;
     private static final double IDLE_SHARE = 0.9;
     private static final long IDLE_MARGIN_US = 1_000_000;
@@ -53,7 +48,7 @@
     private final Invariants invariants;
     private long dialLimitUs;
     private long idleLimitUs;
-    private final Deque<Waiter> waiting = new ArrayDeque<>();
+    private final Deque<WaitingCall> waiting = new ArrayDeque<>();
     private boolean pumping;
     private final Room room;
     /** How many connections are accepted. */
@@ -63,26 +58,9 @@
     /** A running mean: the share of kept links that broke under their next call. */
     private double keptBreaks;
     private int lingering;
-    /** Idle links that carried a job and whose they are, the one that was used longest ago first. */
-    private final Map<Link, EgressTarget> idleByAge = new LinkedHashMap<>();
-    /** Those that never carried a job, in the same order: they are the first to make room. */
-    private final Map<Link, EgressTarget> idleOfProbes = new LinkedHashMap<>();
+    private final IdleLinks idle = new IdleLinks();
     private final RestBudget restBudget = new RestBudget();
 
-    /** A call that waits for a link. */
-    private static final class Waiter {
-        private final EgressTarget target;
-        private final Link.Handler handler;
-        private final double mostBreaks;
-        private TimerWheel.Timer limit;
-
-        Waiter(EgressTarget target, Link.Handler handler, double mostBreaks) {
-            this.target = target;
-            this.handler = handler;
-            this.mostBreaks = mostBreaks;
-        }
-    }
-
     public Egress(Loop loop, Dialer dialer, Invariants invariants, long dialLimitUs, long connIdleUs, Room room, IntSupplier accepted) {
         this.loop = loop;
         this.dialer = dialer;
@@ -142,7 +120,7 @@
     private void endIdle(EgressTarget t) {
         while (!t.idle.isEmpty()) {
             Link link = t.idle.peek();
-            takeIdle(t, link);
+            idle.take(t, link);
             end(link);
         }
     }
@@ -173,8 +151,9 @@
             return null;
         }
         boolean mayDial = mayDial();
-        if (!mayDial && !mustRest && keptBreaks <= mostBreaks && !target.idle.isEmpty()) {
-            return reused(target, target.idle.peekLast(), handler); // all are reserved: whoever waits for this one looks again
+        Link reserved = target.idle.peekLast();
+        if (!mayDial && !mustRest && keptBreaks <= mostBreaks && reserved != null && reserved.isFree()) {
+            return reused(target, reserved, handler); // whoever waits for this one looks again
         }
         if (!mayDial && !evict()) {
             awaitFree(target, handler, mostBreaks);
@@ -186,38 +165,15 @@
         return link;
     }
 
-    /** The newest idle link on which no second answer can come, which leaves the oldest to their end; else the oldest; or null. */
+    /** What {@link IdleLinks#mostRested} has, without what the worker ended unseen. */
     private Link mostRested(EgressTarget target) {
-        Link chosen = oldestIdle(target);
-        if (chosen != null && chosen.secondAnswerUntilUs <= loop.nowUs()) {
-            chosen = newestQuiet(target, chosen);
-        }
-        if (chosen == null || chosen.isFree()) {
-            return chosen;
-        }
-        takeIdle(target, chosen); // the worker ended it, which was not told yet
-        end(chosen);
-        return mostRested(target);
-    }
-
-    private static Link oldestIdle(EgressTarget target) {
-        for (Iterator<Link> it = target.idle.descendingIterator(); it.hasNext();) {
-            Link link = it.next();
-            if (!link.reserved) {
-                return link;
-            }
-        }
-        return null;
-    }
-
-    private Link newestQuiet(EgressTarget target, Link otherwise) {
-        long now = loop.nowUs();
-        for (Link link : target.idle) {
-            if (!link.reserved && link.secondAnswerUntilUs <= now) {
-                return link;
-            }
+        Link chosen = idle.mostRested(target, loop.nowUs());
+        while (chosen != null && !chosen.isFree()) {
+            idle.take(target, chosen);
+            end(chosen);
+            chosen = idle.mostRested(target, loop.nowUs());
         }
-        return otherwise;
+        return chosen;
     }
 
     /** At no cost to the worker, unlike a dial. Each call waits for a link of its own, and is looked at again before it goes. */
@@ -249,7 +205,7 @@
             return;
         }
         invariants.count("egress waits for a link");
-        Waiter w = new Waiter(target, handler, mostBreaks);
+        WaitingCall w = new WaitingCall(target, handler, mostBreaks);
         waiting.add(w);
         w.limit = loop.after(dialLimitUs, () -> {
             waiting.remove(w);
@@ -258,22 +214,12 @@
         });
     }
 
-    private void takeIdle(EgressTarget target, Link link) {
-        if (target.idle.peekLast() == link) {
-            target.idle.pollLast();
-        } else {
-            target.idle.remove(link);
-        }
-        idleByAge.remove(link);
-        idleOfProbes.remove(link);
-    }
-
     private boolean mayDial() {
         return room.mayDial(open.size(), accepted.getAsInt());
     }
 
     private Link reused(EgressTarget target, Link link, Link.Handler handler) {
-        takeIdle(target, link);
+        idle.take(target, link);
         link.reserved = false;
         link.kept = true;
         link.rest(handler);
@@ -287,14 +233,14 @@
      */
     private void pump() {
         pumping = false;
-        for (Waiter w : new ArrayList<>(waiting)) { // who is put back meanwhile, as its link died unseen, waits for another turn
+        for (WaitingCall w : new ArrayList<>(waiting)) { // who is put back meanwhile, as its link died unseen, waits for another turn
             if (!w.target.idle.isEmpty()) {
                 waiting.remove(w);
                 w.limit.cancel();
                 linkLater(w.target, w.handler, w.mostBreaks);
             }
         }
-        for (Waiter w = waiting.peek(); w != null; w = waiting.peek()) {
+        for (WaitingCall w = waiting.peek(); w != null; w = waiting.peek()) {
             if (w.target.idle.isEmpty() && !mayDial() && !evict()) {
                 return;
             }
@@ -318,21 +264,15 @@
         }
     }
 
-    /** Ends the idle link that was used longest ago, of whichever worker. */
+    /** Ends the idle link that is missed least, of whichever worker. */
     private boolean evict() {
-        return evict(idleOfProbes) || evict(idleByAge);
-    }
-
-    private boolean evict(Map<Link, EgressTarget> idle) {
-        for (Map.Entry<Link, EgressTarget> oldest : idle.entrySet()) {
-            if (!oldest.getKey().reserved) {
-                Link link = oldest.getKey();
-                takeIdle(oldest.getValue(), link);
-                end(link);
-                return true;
-            }
+        IdleLinks.Entry least = idle.leastMissed();
+        if (least == null) {
+            return false;
         }
-        return false;
+        idle.take(least.target(), least.link());
+        end(least.link());
+        return true;
     }
 
     /** A call over this link came to an answer or broke: what kept links are worth is learnt by it. */
@@ -366,13 +306,12 @@
 
             @Override
             public void down(Link l) {
-                takeIdle(target, l);
+                idle.take(target, l);
                 open.remove(l);
                 freed();
             }
         });
-        target.idle.addFirst(link);
-        (link.secondAnswerUntilUs > 0 ? idleByAge : idleOfProbes).put(link, target);
+        idle.add(target, link);
         freed();
         trim(target);
     }
@@ -382,7 +321,7 @@
         int share = Math.max(MOST_IDLE, room.mostIdleLinks() / targets.size());
         if (target.idle.size() > share && !room.isAmple(open.size(), accepted.getAsInt())) {
             Link oldest = target.idle.peekLast();
-            takeIdle(target, oldest);
+            idle.take(target, oldest);
             end(oldest);
         }
     }
@@ -391,7 +330,7 @@
      * A worker answered a call twice, as an outlier does: its links rest after each job for a while. What the last call of
      * this link was told by a 202 that may have been another's is in doubt, unless this answer is a 202 too.
      */
-    void answeredTwice(EgressTarget target, Link link, int status) {
+    public void answeredTwice(EgressTarget target, Link link, int status) {
         invariants.count("egress answer without a call");
         target.answeredTwice(loop.nowUs() + ANSWERS_TWICE_US);
         Link.Taken last = link.taken();
@@ -402,11 +341,6 @@
         }
     }
 
-    /** A second answer came on a link whose call has one that waits to be told from it. */
-    public void answeredTwice(EgressTarget target, Link link) {
-        answeredTwice(target, link, NO_STATUS);
-    }
-
     /** Takes a link back after an answer that could be a job's: it carries no other until a second one would have come. */
     public void settles(EgressTarget target, Link link, boolean keepAlive) {
         long now = loop.nowUs();
@@ -442,15 +376,11 @@
     private void sweep() {
         long now = loop.nowUs();
         for (EgressTarget t : targets.values()) {
-            for (Iterator<Link> it = t.idle.descendingIterator(); it.hasNext();) {
-                Link link = it.next();
-                if (now - link.idleSinceUs + SWEEP_US < idleLimitUs && link.isFree()) {
-                    break;
-                }
-                it.remove();
-                idleByAge.remove(link);
-                idleOfProbes.remove(link);
-                end(link);
+            Link oldest = t.idle.peekLast();
+            while (oldest != null && (now - oldest.idleSinceUs + SWEEP_US >= idleLimitUs || !oldest.isFree())) {
+                idle.take(t, oldest);
+                end(oldest);
+                oldest = t.idle.peekLast();
             }
         }
         loop.after(SWEEP_US, this::sweep);
--- /dev/null
+++ b/node/src/main/java/hookweir/net/egress/WaitingCall.java
@@ -0,0 +1,19 @@
+package hookweir.net.egress;
+
+import hookweir.net.Link;
+import hookweir.timer.TimerWheel;
+
+/** A call that waits for a link to come free. */
+final class WaitingCall {
+    final EgressTarget target;
+    final Link.Handler handler;
+    final double mostBreaks;
+    /** Ends the wait. */
+    TimerWheel.Timer limit;
+
+    WaitingCall(EgressTarget target, Link.Handler handler, double mostBreaks) {
+        this.target = target;
+        this.handler = handler;
+        this.mostBreaks = mostBreaks;
+    }
+}
