Ride links that have not rested where waits are dear, in place of dials for a busy worker

Cause: after each job a link rested 30 ms and whoever found none dialled, so a busy worker's jobs dialled (34 of 100 there). Now a call waits for a link to rest only where that is affordable (a token bucket of 20 a second, always at a worker that has answered twice in the last minute); else it rides one that has not, and answers that may be an earlier call's are held until they can be told apart: a refusal or failure for up to 70 ms, a 202 until a call-back shows the job.

--- a/node/src/main/java/hookweir/net/CallbackReceiver.java
+++ b/node/src/main/java/hookweir/net/CallbackReceiver.java
@@ -75,6 +75,7 @@
             invariants.count("call-backs for nothing");
             return;
         }
+        attempt.known();
         Report report = active.loadReport().ofJson(callback.load());
         switch (callback.state()) {
             case "started" -> progress(attempt, 0);
--- a/node/src/main/java/hookweir/net/Errand.java
+++ b/node/src/main/java/hookweir/net/Errand.java
@@ -13,8 +13,9 @@
 abstract class Errand implements Link.Handler {
     private static final byte[] NOTHING = new byte[0];
     private static final int OK = 200;
-    /** The method of a check; a notice has another. */
-    private static final String CHECK = "GET";
+    private static final int ACCEPTED = 202;
+    /** The method of a probe; a notice has another. */
+    private static final String PROBE = "GET";
     /** An answer later than the limit is read to keep the link, for so many limits. */
     private static final int PATIENCE_LIMITS = 4;
 
@@ -67,10 +68,10 @@
         egress.link(target, this, links);
     }
 
-    /** A check of a worker that was announced as leaving, or one that nobody waits for any more, is not made; a notice is. */
+    /** A probe of a worker that was announced as leaving, or one that nobody waits for any more, is not made; a notice is. */
     @Override
     public boolean wantsLink() {
-        if (!method.equals(CHECK) || !over && target.ready()) {
+        if (!method.equals(PROBE) || !over && target.ready()) {
             return true;
         }
         end(Outcome.CONNECT_FAILED, null);
@@ -112,6 +113,14 @@
 
     @Override
     public void piece(Link l, Link.Piece piece) {
+        if (piece.status() == ACCEPTED && method.equals(PROBE)) {
+            // No answer to a probe: a second one to the job that this link carried before.
+            egress.strayed();
+            if (piece.last()) {
+                l.goesOn();
+            }
+            return;
+        }
         if (body.size() <= Transport.MOST_BODY_BYTES) {
             body.writeBytes(piece.bytes());
         }
--- a/node/src/main/java/hookweir/net/egress/Egress.java
+++ b/node/src/main/java/hookweir/net/egress/Egress.java
@@ -6,14 +6,12 @@
 import hookweir.net.Link;
 import hookweir.net.Loop;
 import hookweir.room.Room;
-import hookweir.timer.TimerWheel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.IntSupplier;
@@ -26,13 +24,20 @@
     public static final double SETTLED = 1;
     /** Any kept link: another call's answer does no harm either. */
     public static final double ANY = 2;
+    private static final int ACCEPTED = 202;
     private static final long SWEEP_US = 500_000;
     private static final double IDLE_SHARE = 0.9;
     private static final long IDLE_MARGIN_US = 1_000_000;
     private static final int MOST_IDLE = 8;
     private static final double BREAKS_GAIN = 0.1;
-    /** A worker's second answer to a job comes within this of its first, if it comes. */
-    private static final long SETTLE_US = 30_000;
+    /** A link rests for so long after an answer that could be a job's, where that is affordable. */
+    private static final long REST_US = 30_000;
+    /** A second answer comes within this of the first, if it comes: until then an answer on the link may be another call's. */
+    private static final long SECOND_ANSWER_US = 70_000;
+    /** Links to a worker that answered twice always rest, until it has not done so for this long. */
+    private static final long ANSWERS_TWICE_US = 60_000_000;
+    /** Calls that wait for a free link, over all workers; beyond it a call gets none. */
+    private static final int MOST_WAITING = 1024;
     /** With so many that rest at one target its calls come so close that none is waited for. */
     private static final int MANY_RESTING = 4;
     /** Links that were ended and linger: their descriptors come out of the process's own. */
@@ -43,7 +48,7 @@
     private final Invariants invariants;
     private long dialLimitUs;
     private long idleLimitUs;
-    private final Deque<Waiter> waiting = new ArrayDeque<>();
+    private final Deque<WaitingCall> waiting = new ArrayDeque<>();
     private boolean pumping;
     private final Room room;
     /** How many connections are accepted. */
@@ -53,20 +58,8 @@
     /** A running mean: the share of kept links that broke under their next call. */
     private double keptBreaks;
     private int lingering;
-
-    /** A call that waits for a link. */
-    private static final class Waiter {
-        private final EgressTarget target;
-        private final Link.Handler handler;
-        private final double mostBreaks;
-        private TimerWheel.Timer limit;
-
-        Waiter(EgressTarget target, Link.Handler handler, double mostBreaks) {
-            this.target = target;
-            this.handler = handler;
-            this.mostBreaks = mostBreaks;
-        }
-    }
+    private final IdleLinks idle = new IdleLinks();
+    private final RestBudget restBudget = new RestBudget();
 
     public Egress(Loop loop, Dialer dialer, Invariants invariants, long dialLimitUs, long connIdleUs, Room room, IntSupplier accepted) {
         this.loop = loop;
@@ -125,13 +118,17 @@
     }
 
     private void endIdle(EgressTarget t) {
-        for (Link link = t.idle.poll(); link != null; link = t.idle.poll()) {
+        while (!t.idle.isEmpty()) {
+            Link link = t.idle.peek();
+            idle.take(t, link);
             end(link);
         }
     }
 
     /**
-     * Gets a link to the target: the newest idle one at once, else by a dial.
+     * Gets a link to the target: the newest idle one on which no second answer can come any more, else the one that rested
+     * longest, else by a dial. A call waits for a link to rest where that is affordable; it rides one that does not where
+     * {@link Link#secondAnswerUntilUs} lets the caller tell whose an answer is.
      *
      * @param mostBreaks the share of kept links that may break under their next call for one to be used all the
      *     same; or {@link #NONE}, {@link #SETTLED}, {@link #ANY}
@@ -139,50 +136,27 @@
      *     and is told when it gets it, or that it gets none in the time that a dial may take
      */
     public Link link(EgressTarget target, Link.Handler handler, double mostBreaks) {
+        Link rested = keptBreaks > mostBreaks ? null : mostRested(target);
         long now = loop.nowUs();
-        Link settling = null;
-        int resting = 0;
-        for (Iterator<Link> it = target.idle.iterator(); it.hasNext() && keptBreaks <= mostBreaks;) {
-            Link link = it.next();
-            if (link.reserved) {
-                continue;
-            }
-            if (mostBreaks < ANY && link.settledUs > now && link.isFree()) {
-                resting++;
-                settling = settling == null || link.settledUs < settling.settledUs ? link : settling;
-                continue;
-            }
-            it.remove();
-            if (link.isFree()) {
-                return reused(link, handler);
-            }
-            end(link);
-        }
-        if (resting >= MANY_RESTING) {
-            // So busy a worker would need dials without end: the one that rested longest has to do.
-            target.idle.remove(settling);
-            return reused(settling, handler);
+        if (rested != null && (rested.settledUs <= now || mostBreaks >= ANY)) {
+            return reused(target, rested, handler);
         }
-        if (settling != null) {
-            // At no cost to the worker, unlike a dial. Each waits for one of its own: who finds none dials.
-            Link own = settling;
-            own.reserved = true;
-            // After a whole round of I/O, so that news that lies unread as the link settles is heard first.
-            loop.after(own.settledUs - now, () -> loop.afterRound(() -> {
-                own.reserved = false;
-                linkAfterWait(target, handler, mostBreaks);
-            }));
+        boolean mustRest = target.answersTwice(now);
+        if (rested != null) {
+            boolean waits = mustRest || target.idle.size() < MANY_RESTING && restBudget.take(now);
+            if (!waits) {
+                return reused(target, rested, handler);
+            }
+            awaitRest(target, rested, handler, mostBreaks);
             return null;
         }
-        if (!room.mayDial(open.size(), accepted.getAsInt()) && !evict()) {
-            invariants.count("egress waits for a link");
-            Waiter w = new Waiter(target, handler, mostBreaks);
-            waiting.add(w);
-            w.limit = loop.after(dialLimitUs, () -> {
-                waiting.remove(w);
-                invariants.count("egress out of links");
-                handler.noLink();
-            });
+        boolean mayDial = mayDial();
+        Link reserved = target.idle.peekLast();
+        if (!mayDial && !mustRest && keptBreaks <= mostBreaks && reserved != null && reserved.isFree()) {
+            return reused(target, reserved, handler); // whoever waits for this one looks again
+        }
+        if (!mayDial && !evict()) {
+            awaitFree(target, handler, mostBreaks);
             return null;
         }
         invariants.count("egress dials");
@@ -191,16 +165,61 @@
         return link;
     }
 
+    /** What {@link IdleLinks#mostRested} has, without what the worker ended unseen. */
+    private Link mostRested(EgressTarget target) {
+        Link chosen = idle.mostRested(target, loop.nowUs());
+        while (chosen != null && !chosen.isFree()) {
+            idle.take(target, chosen);
+            end(chosen);
+            chosen = idle.mostRested(target, loop.nowUs());
+        }
+        return chosen;
+    }
+
+    /** At no cost to the worker, unlike a dial. Each call waits for a link of its own, and is looked at again before it goes. */
+    private void awaitRest(EgressTarget target, Link own, Link.Handler handler, double mostBreaks) {
+        invariants.count("egress waits for rest");
+        own.reserved = true;
+        // After a whole round of I/O, so that news that lies unread as the link has rested is heard first.
+        loop.after(own.settledUs - loop.nowUs(), () -> loop.afterRound(() -> {
+            own.reserved = false;
+            linkLater(target, handler, mostBreaks);
+        }));
+    }
+
     /** Gets a link for a call that had to wait for one, unless it is over by now or its worker leaves. */
-    private void linkAfterWait(EgressTarget target, Link.Handler handler, double mostBreaks) {
+    private void linkLater(EgressTarget target, Link.Handler handler, double mostBreaks) {
         if (handler.wantsLink()) {
             link(target, handler, mostBreaks);
         } else {
+            invariants.count("egress calls gone before their link");
             freed(); // the place that it was given goes to the next that waits
         }
     }
 
-    private static Link reused(Link link, Link.Handler handler) {
+    private void awaitFree(EgressTarget target, Link.Handler handler, double mostBreaks) {
+        if (waiting.size() >= MOST_WAITING) {
+            invariants.count("egress out of links");
+            loop.post(handler::noLink);
+            return;
+        }
+        invariants.count("egress waits for a link");
+        WaitingCall w = new WaitingCall(target, handler, mostBreaks);
+        waiting.add(w);
+        w.limit = loop.after(dialLimitUs, () -> {
+            waiting.remove(w);
+            invariants.count("egress out of links");
+            handler.noLink();
+        });
+    }
+
+    private boolean mayDial() {
+        return room.mayDial(open.size(), accepted.getAsInt());
+    }
+
+    private Link reused(EgressTarget target, Link link, Link.Handler handler) {
+        idle.take(target, link);
+        link.reserved = false;
         link.kept = true;
         link.rest(handler);
         handler.up(link);
@@ -213,20 +232,20 @@
      */
     private void pump() {
         pumping = false;
-        for (Waiter w : new ArrayList<>(waiting)) { // who is put back meanwhile, as its link died unseen, waits for another turn
+        for (WaitingCall w : new ArrayList<>(waiting)) { // who is put back meanwhile, as its link died unseen, waits for another turn
             if (!w.target.idle.isEmpty()) {
                 waiting.remove(w);
                 w.limit.cancel();
-                linkAfterWait(w.target, w.handler, w.mostBreaks);
+                linkLater(w.target, w.handler, w.mostBreaks);
             }
         }
-        for (Waiter w = waiting.peek(); w != null; w = waiting.peek()) {
-            if (w.target.idle.isEmpty() && !room.mayDial(open.size(), accepted.getAsInt()) && !evict()) {
+        for (WaitingCall w = waiting.peek(); w != null; w = waiting.peek()) {
+            if (w.target.idle.isEmpty() && !mayDial() && !evict()) {
                 return;
             }
             waiting.remove();
             w.limit.cancel();
-            linkAfterWait(w.target, w.handler, w.mostBreaks);
+            linkLater(w.target, w.handler, w.mostBreaks);
         }
     }
 
@@ -239,20 +258,20 @@
 
     /** Keeps to the descriptors that there are. */
     public void fit() {
-        while (!room.mayDial(open.size(), accepted.getAsInt()) && evict()) {
+        while (!mayDial() && evict()) {
             invariants.count("egress closed at the cap");
         }
     }
 
+    /** Ends the idle link that is missed least, of whichever worker. */
     private boolean evict() {
-        for (EgressTarget t : targets.values()) {
-            Link oldest = t.idle.pollLast();
-            if (oldest != null) {
-                end(oldest);
-                return true;
-            }
+        IdleLinks.Entry least = idle.leastMissed();
+        if (least == null) {
+            return false;
         }
-        return false;
+        idle.take(least.target(), least.link());
+        end(least.link());
+        return true;
     }
 
     /** A call over this link came to an answer or broke: what kept links are worth is learnt by it. */
@@ -276,28 +295,56 @@
         link.rest(new Link.Handler() {
             @Override
             public void piece(Link l, Link.Piece piece) {
-                invariants.count("egress answer without a call");
-                target.idle.remove(l);
-                end(l);
+                // none comes without a call: see unasked
+            }
+
+            @Override
+            public void unasked(Link l, int status) {
+                answeredTwice(target, l, status);
             }
 
             @Override
             public void down(Link l) {
-                target.idle.remove(l);
+                idle.take(target, l);
                 open.remove(l);
+                freed();
             }
         });
-        target.idle.addFirst(link);
+        idle.add(target, link);
         freed();
-        // Links that a busy worker needs all the time are not worth dialling anew for each job.
-        if (target.idle.size() > Math.max(MOST_IDLE, room.mostIdleLinks() / targets.size())) {
-            end(target.idle.pollLast());
+        trim(target);
+    }
+
+    /** Links that a busy worker needs all the time are not worth dialling anew for each job, so its share is kept to in need only. */
+    private void trim(EgressTarget target) {
+        int share = Math.max(MOST_IDLE, room.mostIdleLinks() / targets.size());
+        if (target.idle.size() > share && !room.isAmple(open.size(), accepted.getAsInt())) {
+            Link oldest = target.idle.peekLast();
+            idle.take(target, oldest);
+            end(oldest);
+        }
+    }
+
+    /**
+     * A worker answered a call twice, as an outlier does: its links rest after each job for a while. What the last call of
+     * this link was told by a 202 that may have been another's is in doubt, unless this answer is a 202 too.
+     */
+    public void answeredTwice(EgressTarget target, Link link, int status) {
+        invariants.count("egress answer without a call");
+        target.answeredTwice(loop.nowUs() + ANSWERS_TWICE_US);
+        Link.Taken last = link.taken();
+        if (last != null && status != ACCEPTED) {
+            invariants.count("egress answers in doubt");
+            link.taken(null);
+            last.inDoubt();
         }
     }
 
     /** Takes a link back after an answer that could be a job's: it carries no other until a second one would have come. */
     public void settles(EgressTarget target, Link link, boolean keepAlive) {
-        link.settledUs = loop.nowUs() + SETTLE_US;
+        long now = loop.nowUs();
+        link.settledUs = now + (target.answersTwice(now) ? SECOND_ANSWER_US : REST_US);
+        link.secondAnswerUntilUs = now + SECOND_ANSWER_US;
         release(target, link, keepAlive);
     }
 
@@ -328,13 +375,11 @@
     private void sweep() {
         long now = loop.nowUs();
         for (EgressTarget t : targets.values()) {
-            for (Iterator<Link> it = t.idle.descendingIterator(); it.hasNext();) {
-                Link link = it.next();
-                if (now - link.idleSinceUs + SWEEP_US < idleLimitUs && link.isFree()) {
-                    break;
-                }
-                it.remove();
-                end(link);
+            Link oldest = t.idle.peekLast();
+            while (oldest != null && (now - oldest.idleSinceUs + SWEEP_US >= idleLimitUs || !oldest.isFree())) {
+                idle.take(t, oldest);
+                end(oldest);
+                oldest = t.idle.peekLast();
             }
         }
         loop.after(SWEEP_US, this::sweep);
--- a/node/src/test/java/hookweir/net/LinksTest.java
+++ b/node/src/test/java/hookweir/net/LinksTest.java
@@ -6,15 +6,11 @@
 import static hookweir.net.TestNode.line;
 import static hookweir.net.TestNode.say;
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotSame;
-import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.sun.management.UnixOperatingSystemMXBean;
 import hookweir.Contract;
 import hookweir.net.egress.Egress;
-import hookweir.room.Room;
-import java.io.IOException;
 import java.io.InputStream;
 import java.lang.management.ManagementFactory;
 import java.net.InetAddress;
@@ -23,9 +19,7 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -193,82 +187,10 @@
         }
     }
 
-    /** Loop, transport and dialer by themselves. */
-    private static final class Bare implements AutoCloseable {
-        /** How the clock goes. */
-        volatile LongSupplier clock = System::nanoTime;
-        final Loop loop = new Loop(new Invariants(), () -> clock.getAsLong());
-        final Transport transport = new Transport(new Invariants(), loop);
-        final Dialer dialer = new Dialer(loop, transport);
-
-        Bare() throws Exception {
-            transport.start();
-            new Thread(loop::run).start();
-        }
-
-        @Override
-        public void close() throws IOException {
-            loop.post(loop::stop);
-            transport.stop();
-        }
-    }
-
-    private static class Silent implements Link.Handler {
-        @Override
-        public void piece(Link link, Link.Piece piece) {
-        }
-
-        @Override
-        public void down(Link link) {
-        }
-    }
-
-    /** A pool beside a door that the test opens, and all links that came up. */
-    private static final class Pool implements AutoCloseable {
-        final Bare bare = new Bare();
-        final ServerSocket door = new ServerSocket(0, 5, HERE);
-        final Invariants invariants = new Invariants();
-        final Egress egress;
-        final BlockingQueue<Link> up = new LinkedBlockingQueue<>();
-        final Link.Handler recorder = new Silent() {
-            @Override
-            public void up(Link link) {
-                up.add(link);
-            }
-        };
-
-        Pool() throws Exception {
-            Room room = new Room(1 << 20, 100);
-            room.descriptors(100);
-            egress = new Egress(bare.loop, bare.dialer, invariants, 20_000_000, 20_000_000, room, () -> 0);
-            bare.loop.post(() -> egress.told(1, "s-01", new InetSocketAddress(HERE, door.getLocalPort()), Contract.State.READY));
-        }
-
-        void link() {
-            bare.loop.post(() -> egress.link(egress.target(1), recorder, Egress.SETTLED));
-        }
-
-        /** Of two calls one waits for the link to settle, and the other dials. */
-        void settlesForOne(Link first) throws Exception {
-            link();
-            link();
-            assertNotSame(first, up.take(), "the second, while the first waits");
-            bare.clock = System::nanoTime;
-            bare.loop.post(() -> { });
-            assertSame(first, up.take());
-        }
-
-        @Override
-        public void close() throws IOException {
-            bare.close();
-            door.close();
-        }
-    }
-
     /** Each link that settles is waited for by one call: where all waited, a busy worker's jobs did so for ever. */
     @Test
     void oneCallWaitsForALinkThatSettlesAndTheNextDials() throws Exception {
-        try (Pool pool = new Pool()) {
+        try (LinkPool pool = new LinkPool()) {
             pool.link();
             Link first = pool.up.take();
             long now = System.nanoTime();
@@ -281,7 +203,7 @@
     /** A worker that gets jobs without a pause: resting links were dialled round without end, and it carried 5,800 jobs/s in place of 14,200. */
     @Test
     void whereManyLinksRestTheOneThatRestedLongestIsUsed() throws Exception {
-        try (Pool pool = new Pool()) {
+        try (LinkPool pool = new LinkPool()) {
             List<Link> all = new ArrayList<>();
             for (int i = 0; i < 4; i++) {
                 pool.link();
@@ -301,7 +223,7 @@
     /** A check's second answer that is no 200 could be a job's: it ended one as failed, and left it running. */
     @Test
     void aLinkThatCarriedACheckThatFailedSettlesToo() throws Exception {
-        try (Pool pool = new Pool()) {
+        try (LinkPool pool = new LinkPool()) {
             CountDownLatch ended = new CountDownLatch(1);
             pool.bare.loop.post(() -> new Errand(pool.bare.loop, pool.egress, pool.invariants, 20_000_000, pool.egress.target(1), "GET", "/healthz",
                     Egress.SETTLED) {
@@ -331,14 +253,14 @@
     @Test
     void aDialThatIsCalledOffGivesItsDescriptorBack() throws Exception {
         var system = (UnixOperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
-        try (Bare bare = new Bare(); ServerSocket door = new ServerSocket(0, 1, HERE)) {
+        try (LinkPool.Bare bare = new LinkPool.Bare(); ServerSocket door = new ServerSocket(0, 1, HERE)) {
             List<Socket> crowd = fill(door);
             long before = system.getOpenFileDescriptorCount();
             var address = new InetSocketAddress(HERE, door.getLocalPort());
             List<Link> dials = new ArrayList<>();
             bare.loop.post(() -> {
                 for (int i = 0; i < 200; i++) {
-                    dials.add(bare.dialer.dial(address, 60_000_000, new Silent()));
+                    dials.add(bare.dialer.dial(address, 60_000_000, new LinkPool.Silent()));
                 }
             });
             while (system.getOpenFileDescriptorCount() < before + 150) { // earlier tests may still give some back
@@ -358,8 +280,8 @@
     @Test
     void aCallThatIsCutOffNeverGetsWhole() throws Exception {
         byte[] body = new byte[64 * 1024 * 1024];
-        try (Bare bare = new Bare(); ServerSocket door = new ServerSocket(0, 1, HERE)) {
-            bare.loop.post(() -> bare.dialer.dial(new InetSocketAddress(HERE, door.getLocalPort()), 5_000_000, new Silent() {
+        try (LinkPool.Bare bare = new LinkPool.Bare(); ServerSocket door = new ServerSocket(0, 1, HERE)) {
+            bare.loop.post(() -> bare.dialer.dial(new InetSocketAddress(HERE, door.getLocalPort()), 5_000_000, new LinkPool.Silent() {
                 @Override
                 public void up(Link link) {
                     link.call(link.head("POST", "/api", null, "h"), body, this);
