--- a/lab/src/main/java/hookweir/lab/scale/RealRun.java
+++ b/lab/src/main/java/hookweir/lab/scale/RealRun.java
@@ -47,7 +47,8 @@
         long aimMs = Math.max(LEAST_AIM_MS, (long) AIM * serviceMs);
         Clients.Plan plan = new Clients.Plan(CLIENTS, rate, HttpText.BODY_BYTES, 2 * aimMs, CLASS);
         List<RealRow> rows = new ArrayList<>();
-        Bench.Setting setting = new Bench.Setting(root.toString(), -1, workers, serviceMs, HttpText.RESULT_BYTES, aimMs, DESCRIPTORS, "", false, null);
+        Bench.Setting setting = new Bench.Setting(root.toString(), -1, workers, serviceMs, HttpText.RESULT_BYTES, aimMs, DESCRIPTORS, "pull", "", false,
+            null);
         try (Bench bench = new Bench(setting)) {
             Clients clients = bench.begin(plan);
             for (Span span : Span.values()) {
