Guard the capacity by closed loops held against the echo, few clients and another build

Cause: make capacity offers a rate within a p99 of 50 ms, which a wait of 30 ms for a link keeps, so it read 14,210. Change: closed loops come first; ratios within the run and dials decide the exit status.

--- a/lab/src/main/java/hookweir/lab/Capacity.java
+++ b/lab/src/main/java/hookweir/lab/Capacity.java
@@ -2,6 +2,7 @@
 
 import hookweir.lab.load.Bench;
 import hookweir.lab.load.Clients;
+import hookweir.lab.load.ClosedLoop;
 import hookweir.lab.load.Target;
 import hookweir.lab.net.Reactor;
 import hookweir.lab.record.Witness;
@@ -12,7 +13,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.function.ToDoubleFunction;
 import org.kohsuke.args4j.Option;
 
 /** Steps the rate up until a bound is passed, then offers twice the capacity, and holds it against the bare echo. */
@@ -29,6 +32,22 @@
     private double mostRefused = 0.01;
     @Option(name = "--clients", usage = "client connections at most")
     private int connections = 256;
+    @Option(name = "--closed-clients", usage = "clients of the closed loop, which no rate holds back")
+    private int closedClients = 64;
+    @Option(name = "--few-clients", usage = "clients of the closed loop in which each call's wait shows")
+    private int fewClients = 4;
+    @Option(name = "--least-of-few", usage = "the guard: jobs/s of the few clients by those of the closed loop, at least")
+    private double leastOfFew = 0.2;
+    @Option(name = "--least-of-echo", usage = "the guard: the closed loop's jobs/s by the echo's requests/s, at least")
+    private double leastOfEcho = 0.1;
+    @Option(name = "--most-dials", usage = "the guard: connections to workers for each 100 jobs of the closed loop, at most")
+    private double mostDials = 5;
+    @Option(name = "--against", metaVar = "FOLDER", usage = "another build of the scheduler: the closed loop is played on both in turn")
+    private String against;
+    @Option(name = "--least-of-other", usage = "the guard: the closed loop's jobs/s by the other build's, at least")
+    private double leastOfOther = 0.85;
+    @Option(name = "--turns", usage = "turns of the closed loop; medians count")
+    private int turns = 3;
     @Option(name = "--lab-jar", usage = "this lab's jar, which holds the echo")
     private String jar = "lab/target/hookweir-lab.jar";
     @Option(name = "--out", usage = "the folder for the report")
@@ -47,6 +66,7 @@
         List<Step> steps = new ArrayList<>();
         System.out.println(Step.head());
         double echo = echo(steps);
+        boolean guarded = guard(echo);
         double best = 0;
         double half = 0;
         double over;
@@ -77,7 +97,49 @@
             "clients", connections, "deadlineMs", deadlineMs, "capacity", best, "p99AtHalf", half, "goodputAtTwice", over, "echo", echo), steps);
         LoadReport.latencies(Path.of(out), name, "One scheduler on one processor, " + workers + " workers, bodies of " + body + " bytes",
             within(steps, best));
-        return kept ? 0 : 1;
+        return kept && guarded ? 0 : 1;
+    }
+
+    /**
+     * Jobs/s and dials of a closed loop, held against what the same run read of the echo and of another build: a rate within a
+     * bound of latency hides calls that wait for links, as the schedule leaves time between them.
+     */
+    private boolean guard(double echo) throws IOException, InterruptedException {
+        List<ClosedLoop.Result> own = new ArrayList<>();
+        List<ClosedLoop.Result> few = new ArrayList<>();
+        List<ClosedLoop.Result> others = new ArrayList<>();
+        for (int turn = 0; turn < turns; turn++) {
+            own.add(closedLoop(root, closedClients));
+            few.add(closedLoop(root, fewClients));
+            if (against != null) {
+                others.add(closedLoop(against, closedClients));
+            }
+        }
+        double jobs = median(own, r -> r.step().goodput());
+        double dials = median(own, ClosedLoop.Result::dialsPer100);
+        System.out.printf(Locale.ROOT, "closed loop of %d clients: %.0f jobs/s, p99 %.1f ms, %.1f dials for each 100 jobs; %.3f of the echo%n",
+            closedClients, jobs, median(own, r -> r.step().p99()), dials, jobs / echo);
+        boolean held = holds("jobs/s by the echo's", jobs / echo, leastOfEcho) & holds("dials within bound", mostDials - dials, 0);
+        held &= holds("jobs/s of " + fewClients + " clients by those of " + closedClients, median(few, r -> r.step().goodput()) / jobs, leastOfFew);
+        if (against != null) {
+            held &= holds("jobs/s by the other build's", jobs / median(others, r -> r.step().goodput()), leastOfOther);
+        }
+        return held;
+    }
+
+    private ClosedLoop.Result closedLoop(String build, int clients) throws IOException, InterruptedException {
+        try (Bench bench = bench(build, workers)) {
+            return ClosedLoop.run(bench, new Clients.Plan(clients, 0, body, deadlineMs, "job"), seconds / 2, seconds);
+        }
+    }
+
+    private static double median(List<ClosedLoop.Result> all, ToDoubleFunction<ClosedLoop.Result> figure) {
+        return all.stream().mapToDouble(figure).sorted().toArray()[all.size() / 2];
+    }
+
+    private static boolean holds(String what, double figure, double least) {
+        System.out.printf(Locale.ROOT, "%s: %s %.3f, at least %.3f%n", figure >= least ? "kept" : "NOT KEPT", what, figure, least);
+        return figure >= least;
     }
 
     private static List<Step> within(List<Step> steps, double rate) {
