--- a/node/src/test/java/hookweir/net/LinkPool.java
+++ b/node/src/test/java/hookweir/net/LinkPool.java
@@ -59,7 +59,7 @@
             while (true) {
                 accepted.add(door.accept());
             }
-        } catch (java.io.IOException closed) {
+        } catch (IOException closed) {
             accepted.clear();
         }
     }
