Take 503 for a busy list service, and keep more descriptors from a crowd where there are many

The busy case of `StartTest` has prompt 503s too.

A sixth of the descriptors, 80 at least, stay the process's own, and 48 of each of two processes as before.

--- a/core/src/main/java/hookweir/membership/CallFailure.java
+++ b/core/src/main/java/hookweir/membership/CallFailure.java
@@ -2,8 +2,8 @@
 
 /** How a call to the list service failed. */
 public enum CallFailure {
-    /** No connection came up, or the call was turned away at once: the service can't be reached. */
+    /** No connection came up, or it was ended at once, or whoever answered knows no list: the service can't be reached. */
     REFUSED,
-    /** The service was reached, but gave no usable answer in time: it may be busy, and its news counts as told all the same. */
+    /** The service was reached, but gave no usable answer in time or said 503: it may be busy, and its news counts as told all the same. */
     UNANSWERED
 }
--- a/node/src/main/java/hookweir/net/ProcessShare.java
+++ b/node/src/main/java/hookweir/net/ProcessShare.java
@@ -12,7 +12,11 @@
  */
 final class ProcessShare {
     /** Beside clients and links: the JVM's own, operators', discovery's, those that linger, and those let in or ended in a round. */
-    private static final int OWN_DESCRIPTORS = 80;
+    private static final int MIN_OWN_DESCRIPTORS = 80;
+    /** Of all descriptors, at least: the more there are, the more connections a crowd has ended that are not given back yet. */
+    private static final int OWN_SHARE = 6;
+    /** The same for one of several processes, which serve side by side for a short while only. */
+    private static final int OWN_DESCRIPTORS_OF_SEVERAL = 48;
     private static final int MIN_DESCRIPTORS = 16;
 
     private final Room room;
@@ -38,11 +42,15 @@
         heldJobs = config.heldJobs();
     }
 
+    private int ownDescriptors(int processes) {
+        return processes > 1 ? OWN_DESCRIPTORS_OF_SEVERAL : Math.max(MIN_OWN_DESCRIPTORS, descriptors / OWN_SHARE);
+    }
+
     /** Divides the limits by the number of processes, and keeps within them. */
     void update() {
         int processes = 1 + succession.neighbours();
         room.limit(heldBytes / processes, heldJobs / processes);
-        room.descriptors(Math.max(MIN_DESCRIPTORS, descriptors / processes - OWN_DESCRIPTORS));
+        room.descriptors(Math.max(MIN_DESCRIPTORS, descriptors / processes - ownDescriptors(processes)));
         egress.fit();
         ingress.fit();
     }
--- a/node/src/main/java/hookweir/net/discovery/Discovery.java
+++ b/node/src/main/java/hookweir/net/discovery/Discovery.java
@@ -40,6 +40,8 @@
     private static final long SILENCE_US = 2_600_000;
     /** No list is held: the whole one is asked for. */
     public static final long UNKNOWN = -1;
+    /** The list service has too many callers, or nothing to say yet: it may have news all the same. */
+    private static final int BUSY = 503;
     /** A call that waited in the list service's queue for a while was not refused, however it ended. */
     private static final long REFUSED_WITHIN_US = 200_000;
     private static final int MOST_LINE_BYTES = 4 * 1024 * 1024;
@@ -242,7 +244,7 @@
             silence = loop.after(query == null ? ANSWER_US : SILENCE_US, this::silent);
             if (piece.status() != 200) {
                 invariants.count("discovery status " + piece.status());
-                fail();
+                fail(piece.status() == BUSY ? CallFailure.UNANSWERED : CallFailure.REFUSED);
             } else if (query != null) {
                 lines.feed(piece.bytes());
                 if (piece.last()) {
--- a/node/src/test/java/hookweir/net/StartTest.java
+++ b/node/src/test/java/hookweir/net/StartTest.java
@@ -84,17 +84,17 @@
         }
     }
 
-    /** One that is busy may be reached: it is waited for, as what it has to tell counts, but not for ever. */
+    /** One that is busy, and says so at once or after a while, may be reached: it is waited for, but not for ever. */
     @Test
     void aBusyListServiceIsWaitedForUpToALimit() throws Exception {
         try (TestNode n = TestNode.unconfirmed("read_like")) {
             n.freeze();
             stepUntil(n, "discovery calls", 1);
             int calls = 0;
-            for (long waited = 0; waited < 2 * QUEUED_US; waited += QUEUED_US) {
+            for (long waited : new long[] {QUEUED_US, 0, 0, QUEUED_US}) {
                 try (Socket call = n.list.accept()) {
                     hear(call);
-                    n.step(QUEUED_US);
+                    n.step(waited);
                     n.rounds();
                     say(call, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
                     calls++;
