--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -31,7 +31,7 @@
     private static final double STALE_GAIN = 0.3; // step to a longer report period: one odd one can't set it
     private static final double AGENT_GAP_US = 50_000; // what an agent hears when it is back counts at once
     private static final double ASK_GAP_US = 500_000; // what a list service tells counts 6 s after its return
-    private static final double START_GAP_US = 5_000; // for each dispatcher, as all may start and ask at once
+    private static final double CALL_US = 5_000; // for each dispatcher: all may start at once
     private static final double RECHECK = 0.15; // mean jobs until a held job looks again: so slots free up
     private static final long LEAST_GAP_US = 20_000; // between looks at a worker, however many jobs come
     private static final double ABROAD = 0.1; // room abroad counts so much where crossing costs anything
@@ -118,7 +118,7 @@
         watchFailures = 0;
         if (!started && set.askForList) {
             // Spread by the seed: all dispatchers asking at once would make the list late for everyone.
-            double most = Math.min(set.askWithinUs / 4.0, START_GAP_US * (set.dispatchers - 1));
+            double most = Math.min(set.askWithinUs / 4.0, CALL_US * (set.dispatchers - 1));
             host.timer(WATCH, (long) (uniform() * most));
         }
         started = true;
@@ -172,11 +172,11 @@
         w.asideUntilUs = w.fullUntilUs = 0;
     }
 
-    /** Asks again, later each time: a list service out of reach is not helped by a stampede. */
+    /** Asks again, later each time and the more the dispatchers: the list is not helped by a stampede. */
     @Override public void fleetFailed(long now) {
         watching = false;
-        double most = set.askForList ? ASK_GAP_US : AGENT_GAP_US;
-        host.timer(WATCH, (long) (Math.min(most, 250_000.0 * ++watchFailures) * (0.5 + uniform())));
+        double most = set.askForList ? Math.max(ASK_GAP_US, 10 * CALL_US * set.dispatchers) : AGENT_GAP_US;
+        host.timer(WATCH, (long) (Math.min(most, Math.scalb(125_000, ++watchFailures)) * (0.5 + uniform())));
     }
 
     // ---- requests ----
--- a/core/src/test/java/hookweir/ListCallsTest.java
+++ b/core/src/test/java/hookweir/ListCallsTest.java
@@ -39,6 +39,22 @@
         }
     }
 
+    /** A service that has too many callers is not helped by as many calls again at once: the pauses grow with the number of schedulers. */
+    @Test
+    void manySchedulersPauseForLonger() {
+        RecordingHost h = RecordingHost.with(asked(DISPATCHERS), 8);
+        h.fleet();
+        h.pass(1_000_000);
+        for (int failures = 0; failures < 10; failures++) {
+            h.policy.fleetFailed(h.now);
+            h.pass(10_000_000);
+        }
+        int before = h.count("watch true");
+        h.policy.fleetFailed(h.now);
+        h.pass(2_000_000);
+        assertEquals(before, h.count("watch true"));
+    }
+
     @Test
     void oneThatIsAloneAsksAtOnce() {
         RecordingHost h = RecordingHost.with(asked(1), 8);
