--- a/lab/src/main/java/hookweir/lab/scale/LinkPool.java
+++ b/lab/src/main/java/hookweir/lab/scale/LinkPool.java
@@ -10,8 +10,8 @@
 import java.util.function.IntSupplier;
 
 /**
- * A scheduler's connections to workers, kept as the real one keeps them: the newest idle one is used first, one that carried a job
- * rests before its next call, idle ones end after a while, and no worker keeps more than a few.
+ * A scheduler's connections to workers, kept as the real one kept them before it used some without rest: the newest idle one is used
+ * first, one that carried a job rests before its next call, idle ones end after a while, and no worker keeps more than a few.
  */
 final class LinkPool {
     /** A worker's machine closes idle connections after 10 s; the scheduler does so at nine tenths of it. */
