Read-over: one set of HTTP status names, one set-up for crowded links, one test of completeness

CrowdedLinks is the set-up that LeavingWorkersTest and DepartedClientsTest each wrote out; both keep their assertions. Discovery asks in one place whether all changes have been read, TestNode has one private constructor less, and the medians of closed loops sort in one place.

--- a/lab/src/main/java/hookweir/lab/Capacity.java
+++ b/lab/src/main/java/hookweir/lab/Capacity.java
@@ -134,7 +134,7 @@
     }
 
     private static double median(List<ClosedLoop.Result> all, ToDoubleFunction<ClosedLoop.Result> figure) {
-        return all.stream().mapToDouble(figure).sorted().toArray()[all.size() / 2];
+        return ClosedLoop.sorted(all, figure)[all.size() / 2];
     }
 
     private static boolean holds(String what, double figure, double least) {
--- a/lab/src/main/java/hookweir/lab/Compare.java
+++ b/lab/src/main/java/hookweir/lab/Compare.java
@@ -79,7 +79,7 @@
 
     /** The median and, in brackets, the least and the most. */
     private static String spread(List<ClosedLoop.Result> all, String format, ToDoubleFunction<ClosedLoop.Result> figure) {
-        double[] sorted = all.stream().mapToDouble(figure).sorted().toArray();
+        double[] sorted = ClosedLoop.sorted(all, figure);
         return String.format(Locale.ROOT, format + " (" + format + " to " + format + ")", sorted[sorted.length / 2], sorted[0],
             sorted[sorted.length - 1]);
     }
--- a/lab/src/main/java/hookweir/lab/load/ClosedLoop.java
+++ b/lab/src/main/java/hookweir/lab/load/ClosedLoop.java
@@ -2,6 +2,8 @@
 
 import hookweir.lab.report.Step;
 import java.io.IOException;
+import java.util.List;
+import java.util.function.ToDoubleFunction;
 
 /** Clients in a closed loop on one scheduler: as many jobs as they get through, and what those cost in connections to workers. */
 public final class ClosedLoop {
@@ -17,6 +19,11 @@
     public record Result(Step step, double dialsPer100, double probeDialsPer100) {
     }
 
+    /** One figure of several results, ascending. */
+    public static double[] sorted(List<Result> all, ToDoubleFunction<Result> figure) {
+        return all.stream().mapToDouble(figure).sorted().toArray();
+    }
+
     private ClosedLoop() {
     }
 
--- a/node/src/main/java/hookweir/net/AttemptSender.java
+++ b/node/src/main/java/hookweir/net/AttemptSender.java
@@ -8,7 +8,6 @@
 
 /** Sends attempts to workers, cancels them, and tells the decision module how each ended. Belongs to the {@link Loop}. */
 final class AttemptSender {
-    private static final int OK = 200;
 
     private final SocketHost host;
     private final Loop loop;
@@ -72,7 +71,7 @@
         if (outcome == Outcome.OK) {
             // Only a call-back ends an attempt so, and no call-back comes inside a call of the module: it is told at once, or it
             // could decide on a job that was done a moment ago.
-            held.answer(request, OK, null, result);
+            held.answer(request, HttpStatus.OK, null, result);
             tell.run();
         } else {
             loop.post(tell);
--- a/node/src/main/java/hookweir/net/CallbackReceiver.java
+++ b/node/src/main/java/hookweir/net/CallbackReceiver.java
@@ -16,8 +16,6 @@
  */
 final class CallbackReceiver {
     private static final byte[] NO_BODY = new byte[0];
-    private static final int NO_CONTENT = 204;
-    private static final int BAD_REQUEST = 400;
 
     private final Loop loop;
     private final Invariants invariants;
@@ -43,14 +41,14 @@
         Callback callback = Callback.parse(body);
         if (callback == null) {
             invariants.count("ingress bad call-back");
-            ingress.answer(from, BAD_REQUEST, null, NO_BODY);
+            ingress.answer(from, HttpStatus.BAD_REQUEST, null, NO_BODY);
         } else if (held.isKnown(callback.id())) {
-            ingress.answer(from, NO_CONTENT, null, NO_BODY);
+            ingress.answer(from, HttpStatus.NO_CONTENT, null, NO_BODY);
             apply(callback);
         } else {
             succession.pass(body, null, known -> {
                 invariants.count(known ? "call-backs for a neighbour" : "call-backs for nothing");
-                ingress.answer(from, NO_CONTENT, null, NO_BODY);
+                ingress.answer(from, HttpStatus.NO_CONTENT, null, NO_BODY);
             });
         }
     }
--- a/node/src/main/java/hookweir/net/Errand.java
+++ b/node/src/main/java/hookweir/net/Errand.java
@@ -12,8 +12,6 @@
  */
 abstract class Errand implements Link.Handler {
     private static final byte[] NOTHING = new byte[0];
-    private static final int OK = 200;
-    private static final int ACCEPTED = 202;
     /** The method of a probe; a notice has another. */
     private static final String PROBE = "GET";
     /** An answer later than the limit is read to keep the link, for so many limits. */
@@ -113,7 +111,7 @@
 
     @Override
     public void piece(Link l, Link.Piece piece) {
-        if (piece.status() == ACCEPTED && method.equals(PROBE)) {
+        if (piece.status() == HttpStatus.ACCEPTED && method.equals(PROBE)) {
             // No answer to a probe: a second one to the job that this link carried before.
             egress.strayed();
             if (piece.last()) {
@@ -128,12 +126,12 @@
             stage = Stage.ANSWERED;
             patience.cancel();
             egress.used(l, false);
-            if (piece.status() == OK) {
+            if (piece.status() == HttpStatus.OK) {
                 egress.release(target, l, piece.keepAlive()); // a second one would be passed over by a job
             } else {
                 egress.settles(target, l, piece.keepAlive());
             }
-            end(piece.status() == OK ? Outcome.OK : piece.declined() ? Outcome.FULL : Outcome.ERROR, piece);
+            end(piece.status() == HttpStatus.OK ? Outcome.OK : piece.declined() ? Outcome.FULL : Outcome.ERROR, piece);
         }
     }
 
--- a/node/src/main/java/hookweir/net/HeldRequests.java
+++ b/node/src/main/java/hookweir/net/HeldRequests.java
@@ -15,7 +15,6 @@
 final class HeldRequests {
     private static final byte[] NO_BODY = new byte[0];
     private static final int MAX_RECENT_IDS = 4096;
-    private static final int TOO_MANY_REQUESTS = 429;
 
     private final Invariants invariants;
     private final Figures figures;
@@ -74,7 +73,7 @@
 
     /** Refuses a request: its client may try again, best after so long. */
     void refuse(Exchange request, long retryAfterUs) {
-        answer(request, TOO_MANY_REQUESTS, seconds(retryAfterUs), NO_BODY);
+        answer(request, HttpStatus.TOO_MANY_REQUESTS, seconds(retryAfterUs), NO_BODY);
         settle(request);
     }
 
--- /dev/null
+++ b/node/src/main/java/hookweir/net/HttpStatus.java
@@ -0,0 +1,30 @@
+package hookweir.net;
+
+/** The HTTP status codes that the scheduler writes or reads, by the names that RFC 9110 and RFC 6585 give them. */
+public final class HttpStatus {
+    /** 200. */
+    public static final int OK = 200;
+    /** 202: a worker took a job. */
+    public static final int ACCEPTED = 202;
+    /** 204. */
+    public static final int NO_CONTENT = 204;
+    /** 400. */
+    public static final int BAD_REQUEST = 400;
+    /** 404. */
+    public static final int NOT_FOUND = 404;
+    /** 405. */
+    public static final int METHOD_NOT_ALLOWED = 405;
+    /** 408. */
+    public static final int REQUEST_TIMEOUT = 408;
+    /** 409. */
+    public static final int CONFLICT = 409;
+    /** 429: trying again is harmless. */
+    public static final int TOO_MANY_REQUESTS = 429;
+    /** 500: it may have run. */
+    public static final int SERVER_ERROR = 500;
+    /** 503. */
+    public static final int UNAVAILABLE = 503;
+
+    private HttpStatus() {
+    }
+}
--- a/node/src/main/java/hookweir/net/JobIntake.java
+++ b/node/src/main/java/hookweir/net/JobIntake.java
@@ -12,9 +12,6 @@
 /** Takes jobs: checks a request, holds it and hands it to the decision module. Belongs to the {@link Loop}. */
 final class JobIntake {
     private static final byte[] NO_BODY = new byte[0];
-    private static final int BAD_REQUEST = 400;
-    private static final int CONFLICT = 409;
-    private static final int TOO_MANY_REQUESTS = 429;
 
     private final Loop loop;
     private final Invariants invariants;
@@ -45,20 +42,20 @@
             parsed = active.requestParser().parse(request.headers(), request.path(), ++lastNumber, loop.nowUs());
         } catch (ExchangeParser.BadRequest e) {
             invariants.count("ingress bad request");
-            ingress.answer(from, BAD_REQUEST, null, e.getMessage().getBytes(StandardCharsets.US_ASCII));
+            ingress.answer(from, HttpStatus.BAD_REQUEST, null, e.getMessage().getBytes(StandardCharsets.US_ASCII));
             return false;
         }
         if (!held.claim(request.headers().id())) {
             // An id names one job to workers, which may run it still when its answer is given: two of one id could
             // not be told apart.
             invariants.count("ingress id twice");
-            ingress.answer(from, CONFLICT, null, NO_BODY);
+            ingress.answer(from, HttpStatus.CONFLICT, null, NO_BODY);
             return false;
         }
         if (room.job(parsed.requestClass) == Room.Verdict.REFUSE) {
             invariants.count("exchanges refused for room");
             figures.turnedAway(active.className(parsed.requestClass));
-            ingress.answer(from, TOO_MANY_REQUESTS, retryAfter(), NO_BODY);
+            ingress.answer(from, HttpStatus.TOO_MANY_REQUESTS, retryAfter(), NO_BODY);
             return false;
         }
         hold(new Exchange(parsed, request, from));
--- a/node/src/main/java/hookweir/net/RequestRouter.java
+++ b/node/src/main/java/hookweir/net/RequestRouter.java
@@ -11,10 +11,6 @@
 final class RequestRouter implements RequestHandler {
     private static final byte[] NO_BODY = new byte[0];
     private static final String POST = "POST";
-    private static final int OK = 200;
-    private static final int NOT_FOUND = 404;
-    private static final int METHOD_NOT_ALLOWED = 405;
-    private static final int UNAVAILABLE = 503;
 
     private final Invariants invariants;
     private final Standing standing;
@@ -47,12 +43,12 @@
         if (request.path().equals("/callback")) {
             callback(from, request);
         } else if (request.path().equals("/healthz")) {
-            ingress.answer(from, standing.wantsClients() ? OK : UNAVAILABLE, null, NO_BODY);
+            ingress.answer(from, standing.wantsClients() ? HttpStatus.OK : HttpStatus.UNAVAILABLE, null, NO_BODY);
         } else if (!isJob(request.path())) {
             invariants.count("ingress unknown path");
-            ingress.answer(from, NOT_FOUND, null, NO_BODY);
+            ingress.answer(from, HttpStatus.NOT_FOUND, null, NO_BODY);
         } else if (!request.method().equals(POST)) {
-            ingress.answer(from, METHOD_NOT_ALLOWED, null, NO_BODY);
+            ingress.answer(from, HttpStatus.METHOD_NOT_ALLOWED, null, NO_BODY);
         } else {
             return intake.take(from, request);
         }
@@ -64,7 +60,7 @@
         if (request.method().equals(POST)) {
             callbacks.receive(from, request.body());
         } else {
-            ingress.answer(from, METHOD_NOT_ALLOWED, null, NO_BODY);
+            ingress.answer(from, HttpStatus.METHOD_NOT_ALLOWED, null, NO_BODY);
         }
     }
 
--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -25,7 +25,6 @@
  */
 public final class SocketHost implements Contract.Host {
     private static final byte[] NO_BODY = new byte[0];
-    private static final int SERVER_ERROR = 500;
 
     private final Loop loop;
     private final Invariants invariants;
@@ -248,7 +247,7 @@
     public void fail(int requestId) {
         Exchange request = held.byNumber(requestId);
         if (invariants.hold(request != null && !request.closed, "failure of a closed exchange")) {
-            held.answer(request, SERVER_ERROR, null, NO_BODY);
+            held.answer(request, HttpStatus.SERVER_ERROR, null, NO_BODY);
             held.settle(request);
         }
     }
--- a/node/src/main/java/hookweir/net/discovery/Discovery.java
+++ b/node/src/main/java/hookweir/net/discovery/Discovery.java
@@ -114,13 +114,18 @@
 
     /** An empty line: nothing has changed since the line before. */
     private void heartbeat() {
-        boolean complete = !missed && version != UNKNOWN;
+        boolean complete = isComplete();
         askForMissed();
         if (complete) {
             listener.upToDate();
         }
     }
 
+    /** All changes up to the version held have been read. */
+    private boolean isComplete() {
+        return !missed && version != UNKNOWN;
+    }
+
     private void line(byte[] line) {
         if (line != null && line.length <= 1) {
             heartbeat();
@@ -137,7 +142,7 @@
         if (update != null) {
             boolean back = update.version() < version;
             version = back && !update.full() ? UNKNOWN : update.version();
-            listener.listed(update, !missed && version != UNKNOWN);
+            listener.listed(update, isComplete());
             if (back) {
                 wentBack(update);
             }
--- a/node/src/main/java/hookweir/net/egress/Egress.java
+++ b/node/src/main/java/hookweir/net/egress/Egress.java
@@ -2,6 +2,7 @@
 
 import hookweir.Contract;
 import hookweir.net.Dialer;
+import hookweir.net.HttpStatus;
 import hookweir.net.Invariants;
 import hookweir.net.Link;
 import hookweir.net.Loop;
@@ -24,7 +25,6 @@
     public static final double SETTLED = 1;
     /** Any kept link: another call's answer does no harm either. */
     public static final double ANY = 2;
-    private static final int ACCEPTED = 202;
     private static final long SWEEP_US = 500_000;
     private static final double IDLE_SHARE = 0.9;
     private static final long IDLE_MARGIN_US = 1_000_000;
@@ -333,7 +333,7 @@
         invariants.count("egress answer without a call");
         target.answeredTwice(loop.nowUs() + ANSWERS_TWICE_US);
         Link.Taken last = link.taken();
-        if (last != null && status != ACCEPTED) {
+        if (last != null && status != HttpStatus.ACCEPTED) {
             invariants.count("egress answers in doubt");
             link.taken(null);
             last.inDoubt();
--- a/node/src/main/java/hookweir/net/ingress/BodyAdmission.java
+++ b/node/src/main/java/hookweir/net/ingress/BodyAdmission.java
@@ -1,5 +1,6 @@
 package hookweir.net.ingress;
 
+import hookweir.net.HttpStatus;
 import hookweir.net.Invariants;
 import hookweir.net.Loop;
 import hookweir.room.Room;
@@ -13,7 +14,6 @@
  * the request. Belongs to the loop.
  */
 final class BodyAdmission {
-    private static final int TOO_MANY_REQUESTS = 429;
 
     private final Loop loop;
     private final Invariants invariants;
@@ -114,7 +114,7 @@
         handler.rejected(className);
         input.discard(c, 0);
         input.updateReading(c);
-        closer.closeUnreadable(c, TOO_MANY_REQUESTS);
+        closer.closeUnreadable(c, HttpStatus.TOO_MANY_REQUESTS);
     }
 
     /** Forgets a closed connection. */
--- a/node/src/main/java/hookweir/net/ingress/ConnectionCloser.java
+++ b/node/src/main/java/hookweir/net/ingress/ConnectionCloser.java
@@ -1,6 +1,7 @@
 package hookweir.net.ingress;
 
 import hookweir.net.HalfClose;
+import hookweir.net.HttpStatus;
 import hookweir.net.Invariants;
 import hookweir.net.Loop;
 import hookweir.net.Message;
@@ -10,7 +11,6 @@
 /** Ends connections so that no answer is lost: an error response where one is due, then a lingering close. Belongs to the loop. */
 final class ConnectionCloser {
     private static final byte[] NO_BODY = new byte[0];
-    private static final int TOO_MANY_REQUESTS = 429;
 
     private final Loop loop;
     private final Invariants invariants;
@@ -43,7 +43,7 @@
     /** Answers with the connection's error status and ends the connection. */
     void closeWithError(IngressConnection c) {
         beginFinalResponse(c);
-        Message head = writer.head(c.errorStatus, 0, c.errorStatus == TOO_MANY_REQUESTS ? retryAfter.get() : null)
+        Message head = writer.head(c.errorStatus, 0, c.errorStatus == HttpStatus.TOO_MANY_REQUESTS ? retryAfter.get() : null)
             .header("Connection", "close");
         writer.write(c, head, NO_BODY, () -> close(c));
     }
--- a/node/src/main/java/hookweir/net/ingress/ConnectionSweep.java
+++ b/node/src/main/java/hookweir/net/ingress/ConnectionSweep.java
@@ -1,5 +1,6 @@
 package hookweir.net.ingress;
 
+import hookweir.net.HttpStatus;
 import hookweir.net.Invariants;
 import hookweir.net.Loop;
 import hookweir.room.Room;
@@ -21,7 +22,6 @@
     private static final long ROOM_WAIT_LIMIT_US = 500_000;
     /** A client that does not read its answer may be cut off after so long, while results lack room. */
     private static final long UNWRITTEN_LIMIT_US = 3_000_000;
-    private static final int REQUEST_TIMEOUT = 408;
 
     private final Loop loop;
     private final Invariants invariants;
@@ -75,7 +75,7 @@
             closer.close(c);
         } else if (slow && partial) {
             invariants.count("ingress slow request");
-            c.errorStatus = REQUEST_TIMEOUT;
+            c.errorStatus = HttpStatus.REQUEST_TIMEOUT;
             closer.closeWithError(c);
         } else if (sendingAway && c.mayLeave(now)) {
             closer.close(c);
--- a/node/src/main/java/hookweir/net/ingress/RequestQueue.java
+++ b/node/src/main/java/hookweir/net/ingress/RequestQueue.java
@@ -1,5 +1,6 @@
 package hookweir.net.ingress;
 
+import hookweir.net.HttpStatus;
 import hookweir.net.Invariants;
 import hookweir.net.Loop;
 import hookweir.net.Message;
@@ -10,9 +11,6 @@
     /** A connection is throttled after each bad request beyond so many in a row. */
     private static final int MAX_BAD_REQUESTS = 3;
     private static final long THROTTLE_US = 100_000;
-    private static final int BAD_REQUEST = 400;
-    private static final int TOO_MANY_REQUESTS = 429;
-    private static final int SERVER_ERROR = 500;
 
     private final Loop loop;
     private final Invariants invariants;
@@ -104,7 +102,7 @@
     }
 
     private void countBadRequests(IngressConnection c, int status) {
-        boolean bad = status >= BAD_REQUEST && status != TOO_MANY_REQUESTS && status < SERVER_ERROR;
+        boolean bad = status >= HttpStatus.BAD_REQUEST && status != HttpStatus.TOO_MANY_REQUESTS && status < HttpStatus.SERVER_ERROR;
         c.badRequests = bad ? c.badRequests + 1 : 0;
         if (c.badRequests > MAX_BAD_REQUESTS && !c.throttled) {
             throttle(c);
--- a/node/src/main/java/hookweir/net/ingress/RequestReader.java
+++ b/node/src/main/java/hookweir/net/ingress/RequestReader.java
@@ -1,5 +1,6 @@
 package hookweir.net.ingress;
 
+import hookweir.net.HttpStatus;
 import hookweir.net.Invariants;
 import hookweir.net.Loop;
 import java.util.Arrays;
@@ -13,7 +14,6 @@
     /** Bytes buffered behind the pipelined requests, on one connection and on all of them together. */
     private static final int MAX_BUFFERED_BYTES = 16 * 1024;
     private static final int MAX_BUFFERED_BYTES_IN_ALL = 1024 * 1024;
-    private static final int TOO_MANY_REQUESTS = 429;
 
     private final Loop loop;
     private final Invariants invariants;
@@ -98,7 +98,7 @@
             invariants.count("ingress sent too much ahead");
             input.discard(c, buffered + length);
             input.setUnparsed(c, null);
-            closer.closeUnreadable(c, TOO_MANY_REQUESTS);
+            closer.closeUnreadable(c, HttpStatus.TOO_MANY_REQUESTS);
             return;
         }
         byte[] joined = buffered == 0 ? new byte[length] : Arrays.copyOf(c.unparsed, buffered + length);
--- a/node/src/main/java/hookweir/net/ingress/ResponseWriter.java
+++ b/node/src/main/java/hookweir/net/ingress/ResponseWriter.java
@@ -1,5 +1,6 @@
 package hookweir.net.ingress;
 
+import hookweir.net.HttpStatus;
 import hookweir.net.Loop;
 import hookweir.net.Message;
 import hookweir.net.Transport;
@@ -14,7 +15,6 @@
 /** Writes responses, and counts the bytes that clients have not taken yet. Belongs to the loop. */
 final class ResponseWriter {
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
-    private static final int NO_CONTENT = 204;
 
     private final Loop loop;
     private final Transport transport;
@@ -35,7 +35,7 @@
     /** Begins a response's head, to which further headers may be added; retryAfter may be null. */
     Message head(int status, int bodyBytes, String retryAfter) {
         Message head = transport.message().add(StatusLine.of(status));
-        if (status != NO_CONTENT) {
+        if (status != HttpStatus.NO_CONTENT) {
             head.add("Content-Length: ").add(bodyBytes).line();
         }
         return head.header("Retry-After", retryAfter);
--- /dev/null
+++ b/node/src/test/java/hookweir/net/CrowdedLinks.java
@@ -0,0 +1,69 @@
+package hookweir.net;
+
+import static hookweir.net.HeldLoop.afterReading;
+import static hookweir.net.HeldLoop.many;
+import static hookweir.net.TestNode.job;
+import static hookweir.net.TestNode.line;
+import static hookweir.net.TestNode.say;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+
+/**
+ * A scheduler with nine workers behind one door and nine jobs, some of which wait for a connection, as all that there may be are
+ * dialled; its loop is held until the gate is counted down.
+ */
+final class CrowdedLinks implements AutoCloseable {
+    static final int WORKERS = 9;
+
+    final ServerSocket door = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    final TestNode node = new TestNode("read_like", 20_000_000, "'sockets':64");
+    final List<Socket> clients = new ArrayList<>();
+    final CountDownLatch gate;
+    /** Dials so far. */
+    final long dials;
+
+    CrowdedLinks() throws Exception {
+        line(node.watch, "{'version':8,'full':true,'servers':[" + many(node, door, "SERVING", WORKERS) + "]}");
+        node.awaitCount("list updates", 3);
+        for (int i = 0; i < WORKERS; i++) {
+            clients.add(node.connect());
+        }
+        node.rounds();
+        gate = afterReading(node, () -> {
+            for (Socket client : clients) {
+                say(client, job("w" + clients.indexOf(client)));
+            }
+        });
+        dials = dials();
+        assertEquals(WORKERS, dials + node.node.invariants().counted("egress waits for a link"));
+        assertTrue(dials < WORKERS, "all found a descriptor");
+    }
+
+    /** Dials by now. */
+    long dials() {
+        return node.node.invariants().counted("egress dials");
+    }
+
+    /** All clients close their connections. */
+    void leave() throws IOException {
+        for (Socket client : clients) {
+            client.close();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        leave();
+        node.watch.close();
+        node.close();
+        door.close();
+    }
+}
--- a/node/src/test/java/hookweir/net/DepartedClientsTest.java
+++ b/node/src/test/java/hookweir/net/DepartedClientsTest.java
@@ -11,7 +11,6 @@
 import static hookweir.net.TestNode.say;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -149,28 +148,13 @@
     /** Its job waits for a connection, as all that there may be are dialled: none is sent for it, and none dialled. */
     @Test
     void aJobThatWaitsForAFreeConnectionIsNotSent() throws Exception {
-        List<Socket> clients = new ArrayList<>();
-        try (ServerSocket door = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-                TestNode n = new TestNode("read_like", 20_000_000, "'sockets':64"); Socket watch = n.watch) {
-            line(watch, "{'version':8,'full':true,'servers':[" + many(n, door, "SERVING", 9) + "]}");
-            n.awaitCount("list updates", 3);
-            for (int i = 0; i < 9; i++) {
-                clients.add(n.connect());
-            }
-            n.rounds();
-            CountDownLatch gate = afterReading(n, () -> {
-                for (Socket client : clients) {
-                    say(client, job("w" + clients.indexOf(client)));
-                }
-            });
-            long dials = n.node.invariants().counted("egress dials");
-            assertTrue(dials < 9, "all found a descriptor");
-            close(clients);
-            gate.countDown();
-            n.awaitCount("clients gone", 9);
-            n.rounds();
-            assertEquals(dials, n.node.invariants().counted("egress dials"));
-            assertEquals("", sentTo(door, n));
+        try (CrowdedLinks crowd = new CrowdedLinks()) {
+            crowd.leave();
+            crowd.gate.countDown();
+            crowd.node.awaitCount("clients gone", CrowdedLinks.WORKERS);
+            crowd.node.rounds();
+            assertEquals(crowd.dials, crowd.dials());
+            assertEquals("", sentTo(crowd.door, crowd.node));
         }
     }
 
--- a/node/src/test/java/hookweir/net/LeavingWorkersTest.java
+++ b/node/src/test/java/hookweir/net/LeavingWorkersTest.java
@@ -16,8 +16,6 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -147,32 +145,12 @@
     @ParameterizedTest
     @EnumSource(News.class)
     void jobsThatWaitForAFreeConnectionAreNotSent(News news) throws Exception {
-        List<Socket> clients = new ArrayList<>();
-        try (ServerSocket door = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-                TestNode n = new TestNode("read_like", 20_000_000, "'sockets':64"); Socket watch = n.watch) {
-            line(watch, "{'version':8,'full':true,'servers':[" + many(n, door, "SERVING", 9) + "]}");
-            n.awaitCount("list updates", 3);
-            for (int i = 0; i < 9; i++) {
-                clients.add(n.connect());
-            }
-            n.rounds();
-            CountDownLatch gate = afterReading(n, () -> {
-                for (Socket client : clients) {
-                    say(client, job("w" + clients.indexOf(client)));
-                }
-            });
-            long dials = n.node.invariants().counted("egress dials");
-            assertEquals(9, dials + n.node.invariants().counted("egress waits for a link"));
-            assertTrue(dials < 9, "all found a descriptor");
-            news.tell(watch, many(n, door, "SERVING", 9));
-            gate.countDown();
-            n.awaitCount("hops CONNECT_FAILED", 9);
-            assertEquals(dials, n.node.invariants().counted("egress dials"));
-            assertEquals("", sentTo(door, n));
-        } finally {
-            for (Socket client : clients) {
-                client.close();
-            }
+        try (CrowdedLinks crowd = new CrowdedLinks()) {
+            news.tell(crowd.node.watch, many(crowd.node, crowd.door, "SERVING", CrowdedLinks.WORKERS));
+            crowd.gate.countDown();
+            crowd.node.awaitCount("hops CONNECT_FAILED", CrowdedLinks.WORKERS);
+            assertEquals(crowd.dials, crowd.dials());
+            assertEquals("", sentTo(crowd.door, crowd.node));
         }
     }
 
--- a/node/src/test/java/hookweir/net/TestNode.java
+++ b/node/src/test/java/hookweir/net/TestNode.java
@@ -70,7 +70,7 @@
 
     /** Whose list service the test plays from the start: it has been asked for the changes, and nothing is sent before it answers. */
     static TestNode unconfirmed(String semantics) throws IOException {
-        return new TestNode(semantics, 20_000_000, false, null, "'sockets':128", "ask", true, false, false);
+        return new TestNode(semantics, 20_000_000, false, null, "'sockets':128", "ask", true, false, false, null);
     }
 
     /** As {@link #unconfirmed(String)}, with another list as last held. */
@@ -80,7 +80,7 @@
 
     /** As {@link #unconfirmed(String)}, with a name by which it meets other processes of its scheduler. */
     static TestNode unconfirmed(String semantics, Path meeting) throws IOException {
-        return new TestNode(semantics, 20_000_000, false, meeting, "'sockets':128", "ask", true, false, false);
+        return new TestNode(semantics, 20_000_000, false, meeting, "'sockets':128", "ask", true, false, false, null);
     }
 
     /** Where an agent on the own machine holds the list as it is pushed. */
@@ -90,22 +90,17 @@
 
     /** Whose clock stands still from its start. */
     static TestNode frozen(String semantics) throws IOException {
-        return new TestNode(semantics, 20_000_000, false, null, "'sockets':128", "ask", true, true, true);
+        return new TestNode(semantics, 20_000_000, false, null, "'sockets':128", "ask", true, true, true, null);
     }
 
     /** Where attempts can't be called off. */
     static TestNode withoutCancels() throws IOException {
-        return new TestNode("read_like", 20_000_000, false, null, "'sockets':128", "ask", false, false, true);
+        return new TestNode("read_like", 20_000_000, false, null, "'sockets':128", "ask", false, false, true, null);
     }
 
     private TestNode(String semantics, long deadlineUs, boolean probes, Path meeting, String limits, String listMode)
             throws IOException {
-        this(semantics, deadlineUs, probes, meeting, limits, listMode, true, false, listMode.equals("ask"));
-    }
-
-    private TestNode(String semantics, long deadlineUs, boolean probes, Path meeting, String limits, String listMode, boolean cancels,
-            boolean startsFrozen, boolean confirmed) throws IOException {
-        this(semantics, deadlineUs, probes, meeting, limits, listMode, cancels, startsFrozen, confirmed, null);
+        this(semantics, deadlineUs, probes, meeting, limits, listMode, true, false, listMode.equals("ask"), null);
     }
 
     private TestNode(String semantics, long deadlineUs, boolean probes, Path meeting, String limits, String listMode, boolean cancels,
