--- a/review/1/case.py
+++ b/review/1/case.py
@@ -67,7 +67,7 @@
         raise CannotRun("the second worker did not serve the first job")
     time.sleep(1)
 
-    front = KeptConnection(port)
+    front = KeptConnection(record, "front", port)
     a, b, c, d, e = [Client(record, "client-" + name, port) for name in "abcde"]
     a.send("job-a", "live-status", 7500)
     if not accepted.wait(5):
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -348,7 +348,8 @@
 class KeptConnection:
     """A connection for several small requests, as the front has."""
 
-    def __init__(self, port):
+    def __init__(self, record, name, port):
+        self.record, self.name = record, name
         self.socket = connect(port, 2)
         self.stream = self.socket.makefile("rb")
 
@@ -356,9 +357,11 @@
         try:
             self.socket.sendall(("GET %s HTTP/1.1\r\nHost: h\r\n\r\n" % path).encode())
             answer = read_message(self.stream)
-            return answer.status if answer else 0
+            status = answer.status if answer else 0
         except OSError:
-            return 0
+            status = 0
+        self.record.note(self.name, "get", path=path, status=status)
+        return status
 
 
 def settings(classes, **limits):
