--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -199,18 +199,18 @@
             with self.changed:
                 if not first and self.version == after:
                     self.changed.wait(2)
-                first = False
                 entries = [e for v, e in self.history if v > after]
                 line = b"\n"
-                if entries:
+                if entries or first:
+                    first = False
                     after = self.version
                     line = json.dumps({"version": after, "full": False, "servers": entries}).encode() + b"\n"
             s.sendall(b"%x\r\n%s\r\n" % (len(line), line))
 
 
 class Worker(Server):
-    """A worker. Its behaviour is a function (worker, job, number of the attempt at this worker), called on a thread of its own
-    after the request's last byte; it has to answer the attempt with job.answer() and may call back with worker.call_back()."""
+    """A worker. Its behaviour is a function (worker, job), called on a thread of its own after the request's last byte; it answers the
+    attempt with job.answer() and may call back with worker.call_back()."""
 
     def __init__(self, record, name, behaviour):
         self.record, self.name, self.behaviour = record, name, behaviour
