--- a/node/src/main/java/hookweir/net/worker/WorkerConnectionPool.java
+++ b/node/src/main/java/hookweir/net/worker/WorkerConnectionPool.java
@@ -8,9 +8,6 @@
 import hookweir.net.OutboundConnection;
 import hookweir.room.ResourceBudget;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -39,8 +36,6 @@
     private static final long DUPLICATE_RESPONSE_WINDOW_US = 70_000;
     /** After a duplicate response, the worker's connections always wait for the full window until it has sent none for this long. */
     private static final long DUPLICATE_RESPONSE_MEMORY_US = 60_000_000;
-    /** Maximum number of calls that wait for a free connection, over all workers; further calls fail at once. */
-    private static final int MAX_WAITING = 1024;
     /** With this many idle connections to one worker, its calls follow each other too closely to wait for the reuse delay. */
     private static final int MIN_IDLE_TO_SKIP_WAIT = 4;
     /** Maximum number of connections that linger after a graceful close; their descriptors come from the process's reserve. */
@@ -51,8 +46,7 @@
     private final Invariants invariants;
     private long connectTimeoutUs;
     private long idleTimeoutUs;
-    private final Deque<ConnectionWaiter> waiting = new ArrayDeque<>();
-    private boolean assignmentScheduled;
+    private final ConnectionWaitQueue waitQueue;
     private final ResourceBudget budget;
     /** Number of connections accepted from clients and workers. */
     private final IntSupplier acceptedCount;
@@ -71,6 +65,7 @@
         this.invariants = invariants;
         this.budget = budget;
         this.acceptedCount = acceptedCount;
+        waitQueue = new ConnectionWaitQueue(loop, invariants, new WaitingCallSource());
         setLimits(connectTimeoutUs, connIdleUs);
     }
 
@@ -146,33 +141,82 @@
      *     handler is then notified when it gets one, or when it got none within the connect timeout
      */
     public OutboundConnection acquire(WorkerEndpoint worker, OutboundConnection.Handler handler, double maxBreakRate) {
-        OutboundConnection candidate = reusedBreakRate > maxBreakRate ? null : chooseIdle(worker);
-        long now = loop.nowUs();
-        if (candidate != null && (candidate.reuseAfterUs <= now || maxBreakRate >= REUSE_ANY)) {
-            return reuse(worker, candidate, handler);
+        return acquire(new ConnectionWaiter(worker, handler, maxBreakRate));
+    }
+
+    private OutboundConnection acquire(ConnectionWaiter call) {
+        Assignment assignment = assignIdle(call);
+        if (!assignment.assigned()) {
+            assignment = assignNew(call);
+        }
+        if (!assignment.assigned()) {
+            waitQueue.add(call, connectTimeoutUs);
+        }
+        return assignment.connection();
+    }
+
+    /**
+     * What a call got.
+     *
+     * @param assigned whether it got a connection, now or after a reuse delay
+     * @param connection the connection, ready or connecting; null if the call has to wait for it
+     */
+    private record Assignment(boolean assigned, OutboundConnection connection) {
+        static final Assignment NONE = new Assignment(false, null);
+        static final Assignment AFTER_REUSE_DELAY = new Assignment(true, null);
+
+        static Assignment of(OutboundConnection connection) {
+            return new Assignment(true, connection);
         }
+    }
+
+    /** Lets the call reuse an idle connection to its worker, now or after its reuse delay, if there is one that it may reuse. */
+    private Assignment assignIdle(ConnectionWaiter call) {
+        if (reusedBreakRate > call.maxBreakRate) {
+            return Assignment.NONE;
+        }
+        WorkerEndpoint worker = call.worker;
+        OutboundConnection candidate = chooseIdle(worker);
+        long now = loop.nowUs();
         boolean mustWait = worker.sendsDuplicateResponses(now);
-        if (candidate != null) {
-            boolean wait = mustWait || worker.idleConnections.size() < MIN_IDLE_TO_SKIP_WAIT && reuseWaitBudget.tryTake(now);
-            if (!wait) {
-                return reuse(worker, candidate, handler);
-            }
-            waitForReuse(worker, candidate, handler, maxBreakRate);
-            return null;
+        if (candidate == null) {
+            return mustWait || mayConnect() ? Assignment.NONE : takeOverReserved(call);
         }
-        boolean canConnect = mayConnect();
-        OutboundConnection reserved = worker.idleConnections.peekLast();
-        if (!canConnect && !mustWait && reusedBreakRate <= maxBreakRate && reserved != null && reserved.isIdle()) {
-            return reuse(worker, reserved, handler); // the call that reserved it chooses again after its wait
+        if (candidate.reuseAfterUs <= now || call.maxBreakRate >= REUSE_ANY) {
+            return reuse(call, candidate);
         }
-        if (!canConnect && !evictIdle()) {
-            waitForFreeConnection(worker, handler, maxBreakRate);
-            return null;
+        boolean wait = mustWait || worker.idleConnections.size() < MIN_IDLE_TO_SKIP_WAIT && reuseWaitBudget.tryTake(now);
+        return wait ? waitForReuse(call, candidate) : reuse(call, candidate);
+    }
+
+    /** Where no connection can be opened, uses one that is reserved: the call that reserved it chooses again after its wait. */
+    private Assignment takeOverReserved(ConnectionWaiter call) {
+        OutboundConnection reserved = call.worker.idleConnections.peekLast();
+        return reserved != null && reserved.isIdle() ? reuse(call, reserved) : Assignment.NONE;
+    }
+
+    /** Opens a connection for the call, if need be in place of the least valuable idle one. */
+    private Assignment assignNew(ConnectionWaiter call) {
+        if (!mayConnect() && !evictIdle()) {
+            return Assignment.NONE;
         }
         invariants.count("egress dials");
-        OutboundConnection connection = connector.connect(worker.address(), connectTimeoutUs, handler);
+        OutboundConnection connection = connector.connect(call.worker.address(), connectTimeoutUs, call.handler);
         openConnections.add(connection);
-        return connection;
+        return Assignment.of(connection);
+    }
+
+    /** Gives connections to calls that wait. */
+    private final class WaitingCallSource implements ConnectionWaitQueue.ConnectionSource {
+        @Override
+        public boolean assignIdle(ConnectionWaiter waiter) {
+            return WorkerConnectionPool.this.assignIdle(waiter).assigned();
+        }
+
+        @Override
+        public boolean assignNew(ConnectionWaiter waiter) {
+            return WorkerConnectionPool.this.assignNew(waiter).assigned();
+        }
     }
 
     /** Returns the choice of {@link IdleConnections#chooseForReuse}, after closing those that the worker has already closed. */
@@ -190,84 +234,35 @@
      * Waits for the connection's reuse delay, which costs the worker nothing, unlike a new connection. Each call reserves its
      * own connection, and chooses again after the wait.
      */
-    private void waitForReuse(WorkerEndpoint worker, OutboundConnection connection, OutboundConnection.Handler handler, double maxBreakRate) {
+    private Assignment waitForReuse(ConnectionWaiter call, OutboundConnection connection) {
         invariants.count("egress waits for rest");
         connection.reserved = true;
         // After a full I/O round, so that input already received when the delay ends is processed first.
-        loop.schedule(connection.reuseAfterUs - loop.nowUs(), () -> loop.afterIoRound(() -> {
-            connection.reserved = false;
-            acquireAfterWait(worker, handler, maxBreakRate);
-        }));
+        loop.schedule(connection.reuseAfterUs - loop.nowUs(), () -> loop.afterIoRound(() -> reuseDelayEnded(call, connection)));
+        return Assignment.AFTER_REUSE_DELAY;
     }
 
-    /** Gets a connection for a call that had to wait, unless the call has ended or its worker no longer takes work. */
-    private void acquireAfterWait(WorkerEndpoint worker, OutboundConnection.Handler handler, double maxBreakRate) {
-        if (handler.needsConnection()) {
-            acquire(worker, handler, maxBreakRate);
+    private void reuseDelayEnded(ConnectionWaiter call, OutboundConnection connection) {
+        connection.reserved = false;
+        if (call.handler.needsConnection()) {
+            acquire(call);
         } else {
             invariants.count("egress calls gone before their link");
-            connectionFreed(); // the next waiting call gets its place
         }
-    }
-
-    private void waitForFreeConnection(WorkerEndpoint worker, OutboundConnection.Handler handler, double maxBreakRate) {
-        if (waiting.size() >= MAX_WAITING) {
-            invariants.count("egress out of links");
-            loop.post(handler::connectionUnavailable);
-            return;
-        }
-        invariants.count("egress waits for a link");
-        ConnectionWaiter waiter = new ConnectionWaiter(worker, handler, maxBreakRate);
-        waiting.add(waiter);
-        waiter.timeoutTimer = loop.schedule(connectTimeoutUs, () -> {
-            waiting.remove(waiter);
-            invariants.count("egress out of links");
-            handler.connectionUnavailable();
-        });
+        waitQueue.connectionFreed(); // the call may have left the connection to others
     }
 
     private boolean mayConnect() {
         return budget.mayConnectToWorker(openConnections.size(), acceptedCount.getAsInt());
     }
 
-    private OutboundConnection reuse(WorkerEndpoint worker, OutboundConnection connection, OutboundConnection.Handler handler) {
-        idleConnections.remove(worker, connection);
+    private Assignment reuse(ConnectionWaiter call, OutboundConnection connection) {
+        idleConnections.remove(call.worker, connection);
         connection.reserved = false;
         connection.reused = true;
-        connection.setIdleHandler(handler);
-        handler.connected(connection);
-        return connection;
-    }
-
-    /**
-     * Gives free connections and free capacity to the waiting calls in order of arrival. An idle connection goes first to a
-     * call for the same worker, as closing it for another worker's call would cost a new connection.
-     */
-    private void assignToWaiting() {
-        assignmentScheduled = false;
-        // Over a copy: a call that is queued again, because its connection was dead, waits for the next turn.
-        for (ConnectionWaiter waiter : new ArrayList<>(waiting)) {
-            if (!waiter.worker.idleConnections.isEmpty()) {
-                waiting.remove(waiter);
-                waiter.timeoutTimer.cancel();
-                acquireAfterWait(waiter.worker, waiter.handler, waiter.maxBreakRate);
-            }
-        }
-        for (ConnectionWaiter waiter = waiting.peek(); waiter != null; waiter = waiting.peek()) {
-            if (waiter.worker.idleConnections.isEmpty() && !mayConnect() && !evictIdle()) {
-                return;
-            }
-            waiting.remove();
-            waiter.timeoutTimer.cancel();
-            acquireAfterWait(waiter.worker, waiter.handler, waiter.maxBreakRate);
-        }
-    }
-
-    private void connectionFreed() {
-        if (!waiting.isEmpty() && !assignmentScheduled) {
-            assignmentScheduled = true;
-            loop.post(this::assignToWaiting);
-        }
+        connection.setIdleHandler(call.handler);
+        call.handler.connected(connection);
+        return Assignment.of(connection);
     }
 
     /** Closes idle connections until the descriptor limit is kept. */
@@ -321,11 +316,11 @@
             public void disconnected(OutboundConnection ended) {
                 idleConnections.remove(worker, ended);
                 openConnections.remove(ended);
-                connectionFreed();
+                waitQueue.connectionFreed();
             }
         });
         idleConnections.add(worker, connection);
-        connectionFreed();
+        waitQueue.connectionFreed();
         trimIdle(worker);
     }
 
@@ -377,14 +372,14 @@
             connection.close();
         }
         openConnections.remove(connection);
-        connectionFreed();
+        waitQueue.connectionFreed();
     }
 
     /** Closes a connection at once, which abandons its call. */
     public void abort(OutboundConnection connection) {
         connection.close();
         openConnections.remove(connection);
-        connectionFreed();
+        waitQueue.connectionFreed();
     }
 
     private void sweep() {
--- a/node/src/test/java/hookweir/net/ConnectionPoolFixture.java
+++ b/node/src/test/java/hookweir/net/ConnectionPoolFixture.java
@@ -35,6 +35,11 @@
         public void connected(OutboundConnection connection) {
             acquired.add(connection);
         }
+
+        @Override
+        public void connectionUnavailable() {
+            invariants.count("calls without a connection");
+        }
     };
 
     ConnectionPoolFixture() throws Exception {
@@ -49,7 +54,25 @@
     }
 
     void acquire() {
-        io.loop.post(() -> pool.acquire(pool.worker(1), recorder, WorkerConnectionPool.REUSE_SETTLED));
+        acquire(WorkerConnectionPool.REUSE_SETTLED);
+    }
+
+    void acquire(double maxBreakRate) {
+        io.loop.post(() -> pool.acquire(pool.worker(1), recorder, maxBreakRate));
+    }
+
+    /** Releases a connection after a response that may be a job's. */
+    void releaseWithReuseDelay(OutboundConnection connection) {
+        io.loop.post(() -> pool.releaseWithReuseDelay(pool.worker(1), connection, true));
+    }
+
+    /** Waits until the loop has run all tasks that it has by now, and those that they posted. */
+    void awaitLoop() throws InterruptedException {
+        for (int i = 0; i < 2; i++) {
+            CountDownLatch done = new CountDownLatch(1);
+            io.loop.post(done::countDown);
+            done.await();
+        }
     }
 
     /** Accepts every connection until the listening socket is closed. */
