--- a/node/src/main/java/hookweir/net/CallbackReceiver.java
+++ b/node/src/main/java/hookweir/net/CallbackReceiver.java
@@ -36,43 +36,50 @@
         this.succession = succession;
     }
 
-    /** Handles a callback and responds to it. The response to a forwarded one is sent once the peer process has received it. */
+    /**
+     * Handles a callback and responds to it. One that belongs to no attempt of this process is forwarded to the peer processes, and the
+     * response is sent once they have received it.
+     */
     void receive(InboundConnection connection, byte[] body) {
         Callback callback = Callback.parse(body);
         if (callback == null) {
             invariants.count("ingress bad call-back");
             server.respond(connection, HttpStatus.BAD_REQUEST, null, NO_BODY);
-        } else if (pending.isKnown(callback.id())) {
+            return;
+        }
+        Attempt attempt = attemptOf(callback);
+        if (attempt != null) {
             server.respond(connection, HttpStatus.NO_CONTENT, null, NO_BODY);
-            apply(callback);
-        } else {
-            succession.forwardCallback(body, null, known -> {
-                invariants.count(known ? "call-backs for a neighbour" : "call-backs for nothing");
-                server.respond(connection, HttpStatus.NO_CONTENT, null, NO_BODY);
-            });
+            apply(callback, attempt);
+            return;
         }
+        succession.forwardCallback(body, null, known -> {
+            // If no process has the attempt, the callback is repeated, late, or not from the worker that has the job: it is ignored.
+            invariants.count(known ? "call-backs for a neighbour" : "call-backs for nothing");
+            server.respond(connection, HttpStatus.NO_CONTENT, null, NO_BODY);
+        });
     }
 
-    /** Handles a callback forwarded by a peer process; the verdict is whether its job is known here or to a further process. */
+    /** Handles a callback forwarded by a peer process; the verdict is whether it belongs to an attempt of this or a further process. */
     void receiveForwarded(byte[] body, PeerConnection from, Consumer<Boolean> verdict) {
         Callback callback = Callback.parse(body);
-        if (callback != null && pending.isKnown(callback.id())) {
+        Attempt attempt = callback == null ? null : attemptOf(callback);
+        if (attempt != null) {
             invariants.count("call-backs from a neighbour");
-            apply(callback);
+            apply(callback, attempt);
             verdict.accept(true);
         } else {
             succession.forwardCallback(body, from, verdict);
         }
     }
 
-    private void apply(Callback callback) {
+    /** Returns the attempt of this process to which the callback belongs, or null. */
+    private Attempt attemptOf(Callback callback) {
         PendingRequest request = pending.byClientId(callback.id());
-        Attempt attempt = request == null ? null : lastAttemptAt(request, callback.workerId());
-        if (attempt == null) {
-            // Duplicate, late, or not from the worker that has the job: acknowledged, but ignored.
-            invariants.count("call-backs for nothing");
-            return;
-        }
+        return request == null ? null : lastAttemptAt(request, callback.workerId());
+    }
+
+    private void apply(Callback callback, Attempt attempt) {
         attempt.confirmAcceptance();
         Report report = active.loadReport().parseJson(callback.loadReport());
         switch (callback.state()) {
--- a/node/src/main/java/hookweir/net/JobAdmission.java
+++ b/node/src/main/java/hookweir/net/JobAdmission.java
@@ -20,11 +20,12 @@
     private final ResourceBudget budget;
     private final HttpServer server;
     private final PendingRequests pending;
+    private final RequestClaims claims;
     private final Contract.Dispatcher module;
     private int lastRequestId;
 
     JobAdmission(Loop loop, Invariants invariants, Metrics metrics, ActiveSettings active, ResourceBudget budget, HttpServer server, PendingRequests pending,
-            Contract.Dispatcher module) {
+            RequestClaims claims, Contract.Dispatcher module) {
         this.loop = loop;
         this.invariants = invariants;
         this.metrics = metrics;
@@ -32,6 +33,7 @@
         this.budget = budget;
         this.server = server;
         this.pending = pending;
+        this.claims = claims;
         this.module = module;
     }
 
@@ -45,7 +47,7 @@
             server.respond(connection, HttpStatus.BAD_REQUEST, null, e.getMessage().getBytes(StandardCharsets.US_ASCII));
             return false;
         }
-        if (!pending.claim(request.headers().id())) {
+        if (!claims.claimLocally(request.headers().id())) {
             // Workers identify a job by its id and may still run it after the final response, so two jobs with one id could not be
             // distinguished.
             invariants.count("ingress id twice");
@@ -58,20 +60,29 @@
             server.respond(connection, HttpStatus.TOO_MANY_REQUESTS, retryAfter(), NO_BODY);
             return false;
         }
-        add(new PendingRequest(parsed, request, connection));
+        PendingRequest added = new PendingRequest(parsed, request, connection);
+        pending.add(added);
+        metrics.jobAccepted();
+        server.setClientDisconnectAction(connection, () -> clientDisconnected(added));
+        claims.claimFromPeers(added, isNew -> idClaimed(added, isNew));
         return true;
     }
 
-    private void add(PendingRequest request) {
-        Contract.Request parsed = request.job;
-        if (parsed.tenant == RequestParser.NO_TENANT) {
+    /** Hands a request to the decision module, unless another process of this scheduler has a request with this id. */
+    private void idClaimed(PendingRequest request, boolean isNew) {
+        if (request.closed) {
+            return; // its client disconnected meanwhile
+        }
+        if (!isNew) {
+            invariants.count("ingress id twice");
+            pending.rejectDuplicate(request);
+            return;
+        }
+        if (request.job.tenant == RequestParser.NO_TENANT) {
             invariants.count("requests of no known owner");
         }
-        pending.add(request);
         invariants.count("requests");
-        metrics.jobAccepted();
-        server.setClientDisconnectAction(request.client, () -> clientDisconnected(request));
-        module.requestAccepted(loop.nowUs(), parsed);
+        module.requestAccepted(loop.nowUs(), request.job);
     }
 
     private void clientDisconnected(PendingRequest request) {
--- a/node/src/main/java/hookweir/net/PendingRequest.java
+++ b/node/src/main/java/hookweir/net/PendingRequest.java
@@ -6,6 +6,7 @@
 import hookweir.timer.TimerWheel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 /**
  * One request from a client, until its final response is sent and its last attempt has ended. Owned by
@@ -22,6 +23,8 @@
     boolean closed;
     /** The decision module's timer for this request, which ensures that the request is never forgotten. */
     TimerWheel.Timer requestTimer;
+    /** Receives whether the request may be accepted; null unless its id is being claimed from the peer processes. */
+    Consumer<Boolean> claimResult;
 
     PendingRequest(Contract.Request job, InboundRequest httpRequest, InboundConnection client) {
         this.job = job;
--- a/node/src/main/java/hookweir/net/PendingRequests.java
+++ b/node/src/main/java/hookweir/net/PendingRequests.java
@@ -3,6 +3,7 @@
 import hookweir.net.admin.Metrics;
 import hookweir.net.server.HttpServer;
 import hookweir.room.ResourceBudget;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -14,7 +15,6 @@
  */
 final class PendingRequests {
     private static final byte[] NO_BODY = new byte[0];
-    private static final int MAX_RECENT_IDS = 4096;
 
     private final Invariants invariants;
     private final Metrics metrics;
@@ -23,8 +23,6 @@
     private final HttpServer server;
     private final Map<Integer, PendingRequest> byNumber = new HashMap<>();
     private final Map<String, PendingRequest> byClientId = new HashMap<>();
-    /** The clients' ids of the most recent requests, pending or not. */
-    private final Set<String> recentIds = BoundedSets.evictingOldest(MAX_RECENT_IDS);
 
     PendingRequests(Invariants invariants, Metrics metrics, ActiveSettings active, ResourceBudget budget, HttpServer server) {
         this.invariants = invariants;
@@ -44,14 +42,9 @@
         return byClientId.get(id);
     }
 
-    /** Returns whether a request with this id is pending or was recently. */
-    boolean isKnown(String id) {
-        return byClientId.containsKey(id) || recentIds.contains(id);
-    }
-
-    /** Records the id of a new request; false if the id is already in use. */
-    boolean claim(String id) {
-        return !byClientId.containsKey(id) && recentIds.add(id);
+    /** Returns the client-assigned ids of all pending requests. */
+    Set<String> clientIds() {
+        return Collections.unmodifiableSet(byClientId.keySet());
     }
 
     /** Adds a request. */
@@ -77,6 +70,14 @@
         removeIfFinished(request);
     }
 
+    /** Rejects a request whose id was used already. It does not count as a job. */
+    void rejectDuplicate(PendingRequest request) {
+        request.closed = true;
+        metrics.jobAbandoned();
+        server.respond(request.client, HttpStatus.CONFLICT, null, NO_BODY);
+        removeIfFinished(request);
+    }
+
     /** Removes a request that has its final response and no outstanding attempt. */
     void removeIfFinished(PendingRequest request) {
         if (request.closed && request.outstandingAttempt() == null && byNumber.remove(request.job.id, request)) {
--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -17,6 +17,8 @@
 import hookweir.net.worker.WorkerConnectionPool;
 import hookweir.room.ResourceBudget;
 import java.io.IOException;
+import java.util.Collection;
+import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -40,6 +42,7 @@
     private final PeerProcesses succession;
     private final ProcessResources resources;
     private final PendingRequests pending;
+    private final RequestClaims claims;
     private final AttemptSender attempts;
     private final Prober prober;
     private final CallbackReceiver callbacks;
@@ -67,10 +70,11 @@
         succession = new PeerProcesses(loop, invariants, config.handoverSocketPath(), new PeerListener());
         resources = new ProcessResources(config, budget, workerConnections, server, succession);
         pending = new PendingRequests(invariants, metrics, active, budget, server);
+        claims = new RequestClaims(pending, succession);
         attempts = new AttemptSender(this, loop, invariants, events, active, workerConnections, pending, module);
         prober = new Prober(loop, invariants, active, workerConnections, module);
         callbacks = new CallbackReceiver(loop, invariants, active, server, pending, module, succession);
-        JobAdmission admission = new JobAdmission(loop, invariants, metrics, active, budget, server, pending, module);
+        JobAdmission admission = new JobAdmission(loop, invariants, metrics, active, budget, server, pending, claims, module);
         router = new RequestRouter(invariants, standing, metrics, active, server, callbacks, admission);
         shutdown = new Shutdown(loop, invariants, standing, server, pending, module);
         reporter = new StatusReporter(loop, invariants, metrics, budget, server, workerConnections, pending, module, membership);
@@ -122,6 +126,21 @@
         public void callbackForwarded(byte[] callback, PeerConnection from, Consumer<Boolean> verdict) {
             callbacks.receiveForwarded(callback, from, verdict);
         }
+
+        @Override
+        public void idClaimed(String id, PeerConnection from, Consumer<Boolean> verdict) {
+            claims.claimedByPeer(id, from, verdict);
+        }
+
+        @Override
+        public void knownIdsReceived(List<String> ids) {
+            claims.learn(ids);
+        }
+
+        @Override
+        public Collection<String> knownIds() {
+            return claims.knownIds();
+        }
     }
 
     // ---- start, reload and shutdown ----
--- a/node/src/main/java/hookweir/net/server/RequestParser.java
+++ b/node/src/main/java/hookweir/net/server/RequestParser.java
@@ -10,7 +10,8 @@
     private static final long MAX_DEADLINE_MS = 24 * 3_600_000L;
     private static final int MAX_HEX_KEY_DIGITS = 16;
     private static final int MAX_DEADLINE_DIGITS = 9;
-    private static final int MAX_ID_CHARS = 128;
+    /** Maximum length of a request id. */
+    public static final int MAX_ID_CHARS = 128;
     /** The tenant of a request whose owner is missing or unknown. */
     public static final int NO_TENANT = -1;
 
--- a/node/src/main/java/hookweir/net/upgrade/PeerConnection.java
+++ b/node/src/main/java/hookweir/net/upgrade/PeerConnection.java
@@ -2,14 +2,14 @@
 
 import hookweir.net.Loop;
 import hookweir.net.Transport;
+import hookweir.timer.TimerWheel;
 import java.io.EOFException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
 import java.util.function.Consumer;
 
 /**
@@ -22,11 +22,13 @@
     static final int SERVING_FRAME = 1;
     /** A worker's callback that the sender does not know; the receiver sends a verdict with the same number. */
     static final int CALLBACK_FRAME = 2;
-    /** Whether the callback with this number was for a known job: one byte, 1 for yes. */
+    /** Whether the question with this number, a callback or a claim, concerns a known job: one byte, 1 for yes. */
     static final int VERDICT_FRAME = 3;
+    /** The id of a new request of the sender; the receiver sends a verdict with the same number. */
+    static final int CLAIM_FRAME = 4;
+    /** Ids of requests that the sender knows, separated by line feeds. */
+    static final int KNOWN_IDS_FRAME = 5;
     private static final int HEADER_BYTES = 9;
-    /** Maximum number of frames queued for writing. A peer that lets the queue fill up is disconnected. */
-    private static final int MAX_QUEUED_FRAMES = 256;
 
     /** Receives frames, on the loop. */
     interface FrameListener {
@@ -36,13 +38,20 @@
     final boolean predecessor;
     /** Whether the peer process serves clients. */
     boolean serving;
+    /** Whether the peer process left a claim without a verdict; no claim waits for it then. */
+    boolean unresponsive;
     private final SocketChannel channel;
     private final Loop loop;
     private final FrameListener listener;
     private final Consumer<PeerConnection> onLost;
-    private final BlockingQueue<ByteBuffer> outgoing = new ArrayBlockingQueue<>(MAX_QUEUED_FRAMES);
-    private final Map<Integer, Consumer<Boolean>> pendingVerdicts = new HashMap<>();
-    private int lastCallbackNumber;
+    /** The frames to write. A peer that lets the queue fill up is disconnected. */
+    private final FrameQueue outgoing = new FrameQueue();
+    private final Map<Integer, Question> openQuestions = new HashMap<>();
+    private int lastQuestionNumber;
+
+    /** A question to the peer that has no verdict yet. */
+    private record Question(Consumer<Boolean> onVerdict, TimerWheel.Timer timeoutTimer) {
+    }
 
     PeerConnection(SocketChannel channel, boolean predecessor, Loop loop, FrameListener listener, Consumer<PeerConnection> onLost) {
         this.channel = channel;
@@ -111,34 +120,44 @@
         }
     }
 
+    /** Returns whether the peer process is older than this one. */
+    public boolean isPredecessor() {
+        return predecessor;
+    }
+
     /**
-     * Asks the peer whether a callback is for one of its jobs. The verdict arrives once, by {@link #completeVerdict}, or as
-     * false when the connection is closed.
+     * Asks the peer whether a callback or a claim concerns one of its jobs. The verdict arrives once, by {@link #completeVerdict}, or as
+     * false after the timeout or when the connection is closed.
+     *
+     * @param onTimeout runs before the verdict if the peer sends none in time
      */
-    int forwardCallback(byte[] callback, Consumer<Boolean> onVerdict) {
-        pendingVerdicts.put(++lastCallbackNumber, onVerdict);
-        send(CALLBACK_FRAME, lastCallbackNumber, callback);
-        return lastCallbackNumber;
+    void ask(int kind, byte[] payload, long timeoutUs, Runnable onTimeout, Consumer<Boolean> onVerdict) {
+        int number = ++lastQuestionNumber;
+        TimerWheel.Timer timer = loop.schedule(timeoutUs, () -> {
+            onTimeout.run();
+            completeVerdict(number, false);
+        });
+        openQuestions.put(number, new Question(onVerdict, timer));
+        send(kind, number, payload);
     }
 
-    /** Delivers the verdict on a forwarded callback; later ones for the same number are ignored. */
+    /** Delivers the verdict on a question; later ones for the same number are ignored. */
     void completeVerdict(int number, boolean known) {
-        Consumer<Boolean> onVerdict = pendingVerdicts.remove(number);
-        if (onVerdict != null) {
-            onVerdict.accept(known);
+        Question question = openQuestions.remove(number);
+        if (question != null) {
+            question.timeoutTimer.cancel();
+            question.onVerdict.accept(known);
         }
     }
 
-    /** Closes the connection; all pending verdicts become false. */
+    /** Closes the connection; all verdicts that are missing become false. */
     void close() {
         try {
             channel.close(); // ends the reader now, and the writer at its next frame
         } catch (IOException e) {
             hookweir.net.Log.line("failed to close a peer connection: " + e.getMessage());
         }
-        outgoing.offer(ByteBuffer.allocate(1));
-        Map<Integer, Consumer<Boolean>> unanswered = new HashMap<>(pendingVerdicts);
-        pendingVerdicts.clear();
-        unanswered.values().forEach(onVerdict -> onVerdict.accept(false));
+        outgoing.offer(ByteBuffer.allocate(1)); // wakes the writer
+        List.copyOf(openQuestions.keySet()).forEach(number -> completeVerdict(number, false));
     }
 }
--- a/node/src/main/java/hookweir/net/upgrade/PeerProcesses.java
+++ b/node/src/main/java/hookweir/net/upgrade/PeerProcesses.java
@@ -3,14 +3,17 @@
 import hookweir.net.Invariants;
 import hookweir.net.Log;
 import hookweir.net.Loop;
+import hookweir.net.Transport;
 import java.io.IOException;
 import java.net.StandardProtocolFamily;
 import java.net.UnixDomainSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.function.Consumer;
 
@@ -32,10 +35,24 @@
          * here.
          */
         void callbackForwarded(byte[] callback, PeerConnection from, Consumer<Boolean> verdict);
+
+        /** A peer process has a new request with this id. The verdict says whether the id was used already. */
+        void idClaimed(String id, PeerConnection from, Consumer<Boolean> verdict);
+
+        /** A peer process knew requests with these ids before it was connected. */
+        void knownIdsReceived(List<String> ids);
+
+        /** Returns the ids of all requests that this process knows. */
+        Collection<String> knownIds();
     }
 
     /** How long a peer that does not respond may delay the response to a callback. */
-    private static final long VERDICT_TIMEOUT_US = 1_000_000;
+    private static final long CALLBACK_TIMEOUT_US = 1_000_000;
+    /** How long a peer that does not respond may delay a new request; it delays only those that came before the first timeout. */
+    private static final long CLAIM_TIMEOUT_US = 250_000;
+    /** The number of a question whose verdict doesn't count. */
+    private static final int UNNUMBERED = 0;
+    private static final String ID_SEPARATOR = "\n";
 
     private final Loop loop;
     private final Invariants invariants;
@@ -119,9 +136,33 @@
     private void addPeer(SocketChannel channel, boolean predecessor) {
         peers.add(new PeerConnection(channel, predecessor, loop, this::frameReceived, this::connectionLost));
         Log.line(predecessor ? "another process serves here, this one follows it" : "another process came to follow this one");
+        if (!predecessor) {
+            sendKnownIds(peers.get(peers.size() - 1));
+        }
         listener.peersChanged();
     }
 
+    /** Sends all known ids, in frames of limited size. */
+    private void sendKnownIds(PeerConnection successor) {
+        StringBuilder frame = new StringBuilder();
+        for (String id : listener.knownIds()) {
+            if (frame.length() + ID_SEPARATOR.length() + id.length() > Transport.MAX_BODY_BYTES) {
+                successor.send(PeerConnection.KNOWN_IDS_FRAME, 0, encode(frame.toString()));
+                frame.setLength(0);
+            }
+            frame.append(frame.isEmpty() ? "" : ID_SEPARATOR).append(id);
+        }
+        successor.send(PeerConnection.KNOWN_IDS_FRAME, 0, encode(frame.toString()));
+    }
+
+    private static byte[] encode(String ids) {
+        return ids.getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private static String decode(byte[] bytes) {
+        return new String(bytes, StandardCharsets.US_ASCII);
+    }
+
     private void frameReceived(PeerConnection from, int kind, int number, byte[] bytes) {
         switch (kind) {
             case PeerConnection.SERVING_FRAME -> {
@@ -129,13 +170,21 @@
                 Log.line("the process that follows serves");
                 listener.peersChanged();
             }
-            case PeerConnection.CALLBACK_FRAME -> listener.callbackForwarded(bytes, from,
-                known -> from.send(PeerConnection.VERDICT_FRAME, number, new byte[] {(byte) (known ? 1 : 0)}));
-            case PeerConnection.VERDICT_FRAME -> from.completeVerdict(number, bytes.length == 1 && bytes[0] == 1);
+            case PeerConnection.CALLBACK_FRAME -> listener.callbackForwarded(bytes, from, known -> sendVerdict(from, number, known));
+            case PeerConnection.CLAIM_FRAME -> listener.idClaimed(decode(bytes), from, known -> sendVerdict(from, number, known));
+            case PeerConnection.VERDICT_FRAME -> {
+                from.unresponsive = false;
+                from.completeVerdict(number, bytes.length == 1 && bytes[0] == 1);
+            }
+            case PeerConnection.KNOWN_IDS_FRAME -> listener.knownIdsReceived(bytes.length == 0 ? List.of() : List.of(decode(bytes).split(ID_SEPARATOR)));
             default -> invariants.count("upgrade message of unknown kind");
         }
     }
 
+    private static void sendVerdict(PeerConnection to, int number, boolean known) {
+        to.send(PeerConnection.VERDICT_FRAME, number, new byte[] {(byte) (known ? 1 : 0)});
+    }
+
     private void connectionLost(PeerConnection peer) {
         if (!peers.remove(peer)) {
             return;
@@ -160,15 +209,37 @@
 
     /** Forwards a callback for an unknown job to all peers except the one it came from, which may be null. */
     public void forwardCallback(byte[] callback, PeerConnection source, Consumer<Boolean> verdict) {
-        List<PeerConnection> recipients = peers.stream().filter(peer -> peer != source).toList();
-        if (recipients.isEmpty()) {
+        ask(PeerConnection.CALLBACK_FRAME, callback, CALLBACK_TIMEOUT_US, otherThan(source), List.of(), verdict);
+    }
+
+    /**
+     * Claims the id of a new request from all peers except the one whose claim it is, which may be null. The verdict is whether one of
+     * them has used the id already. Only peers that may accept requests are waited for.
+     */
+    public void claimId(String id, PeerConnection source, Consumer<Boolean> verdict) {
+        List<PeerConnection> awaited = new ArrayList<>(otherThan(source));
+        awaited.removeIf(peer -> peer.unresponsive || !peer.predecessor && !peer.serving);
+        List<PeerConnection> informed = new ArrayList<>(otherThan(source));
+        informed.removeAll(awaited);
+        ask(PeerConnection.CLAIM_FRAME, encode(id), CLAIM_TIMEOUT_US, awaited, informed, verdict);
+    }
+
+    private List<PeerConnection> otherThan(PeerConnection source) {
+        return peers.stream().filter(peer -> peer != source).toList();
+    }
+
+    /** Sends a question to the awaited peers, for the verdict, and to the informed ones, whose verdict doesn't count. */
+    private void ask(int kind, byte[] payload, long timeoutUs, List<PeerConnection> awaited, List<PeerConnection> informed, Consumer<Boolean> verdict) {
+        for (PeerConnection peer : informed) {
+            peer.send(kind, UNNUMBERED, payload);
+        }
+        if (awaited.isEmpty()) {
             verdict.accept(false);
             return;
         }
-        VerdictCollector collector = new VerdictCollector(recipients.size(), verdict);
-        for (PeerConnection peer : recipients) {
-            int number = peer.forwardCallback(callback, collector::add);
-            loop.schedule(VERDICT_TIMEOUT_US, () -> peer.completeVerdict(number, false));
+        VerdictCollector collector = new VerdictCollector(awaited.size(), verdict);
+        for (PeerConnection peer : awaited) {
+            peer.ask(kind, payload, timeoutUs, () -> peer.unresponsive = true, collector::add);
         }
     }
 
