--- a/node/src/main/java/hookweir/net/Attempt.java
+++ b/node/src/main/java/hookweir/net/Attempt.java
@@ -2,9 +2,12 @@
 
 import hookweir.Contract.Outcome;
 import hookweir.Contract.Report;
+import hookweir.net.server.Callback;
 import hookweir.net.worker.WorkerConnectionPool;
 import hookweir.net.worker.WorkerEndpoint;
 import hookweir.timer.TimerWheel;
+import java.util.EnumSet;
+import java.util.Set;
 
 /**
  * One attempt: from {@link SocketHost#send} to its single outcome. Owns the connection that it is sent on until the worker's
@@ -25,6 +28,16 @@
 
     private enum Stage { CONNECTING, SENDING, SENT, ACCEPTED, CANCELLING, ENDED }
 
+    /** The callbacks that the worker may still send for an attempt that has ended. */
+    private enum LateCallbacks {
+        /** None: the attempt never reached the worker, or the worker did not accept it. */
+        NONE,
+        /** Those that it has sent, if their responses were lost. */
+        REPEATED,
+        /** Any: the worker may have the job. */
+        ANY
+    }
+
     final PendingRequest request;
     final int workerId;
     /** Null if the worker is not on the list; nothing is sent then. */
@@ -44,6 +57,10 @@
     private OutboundConnection.ResponsePart ambiguousResponse;
     /** The connection whose 202 may belong to an earlier request, until a callback shows that the worker has the job. */
     private OutboundConnection ambiguousConnection;
+    /** What the worker has reported about this attempt, including what it may have reported about an earlier one. */
+    private final Set<Callback.State> reported = EnumSet.noneOf(Callback.State.class);
+    private boolean started;
+    private LateCallbacks lateCallbacks = LateCallbacks.NONE;
 
     Attempt(SocketHost host, WorkerConnectionPool workerConnections, PendingRequest request, int workerId, WorkerEndpoint target, int number,
             long startUs) {
@@ -84,25 +101,25 @@
         if (stage == Stage.CONNECTING && !target.isReady()) {
             // Rule 3, no new work for a draining worker, applies to the first byte sent, and the worker may have started to drain
             // during the wait for a connection.
-            finish(Outcome.CONNECT_FAILED, null, null);
+            finish(Outcome.CONNECT_FAILED);
         } else if (stage == Stage.CONNECTING && request.closed) {
             // The client disconnected meanwhile. Even where attempts can't be cancelled, none is started for it any more.
-            finish(Outcome.MOOT, null, null);
+            finish(Outcome.MOOT);
         } else if (stage == Stage.CONNECTING && !host.mayStartAttempt()) {
             // The lease on the worker list expired during the wait: the worker may be draining.
-            finish(Outcome.MOOT, null, null);
+            finish(Outcome.MOOT);
         }
         return stage == Stage.CONNECTING;
     }
 
     @Override
     public void connectionUnavailable() {
-        finish(Outcome.CONNECT_FAILED, null, null);
+        finish(Outcome.CONNECT_FAILED);
     }
 
     /** Ends the attempt before anything was sent. */
     void endUnsent(Outcome outcome) {
-        finish(outcome, null, null);
+        finish(outcome);
     }
 
     boolean isEnded() {
@@ -114,6 +131,32 @@
         return stage != Stage.CONNECTING && stage != Stage.ENDED;
     }
 
+    /** Returns whether both attempts went to the same worker. */
+    boolean isAtSameWorker(Attempt other) {
+        return target != null && target.name.equals(other.target.name);
+    }
+
+    /** Records a callback; if it is not certain, it may be about an earlier attempt at the same worker. */
+    void recordCallback(Callback.State state, boolean certain) {
+        reported.add(state);
+        started |= certain && state.isProgress();
+    }
+
+    /** Returns whether the worker has reported for certain that the job began to run. */
+    boolean hasStarted() {
+        return started;
+    }
+
+    /** Returns whether the worker may still report this for the attempt, which has ended, for the first time or once more. */
+    boolean mayStillReport(Callback.State state) {
+        return switch (lateCallbacks) {
+            case NONE -> false;
+            // Reports of progress may be behind that of the end, but a job that was handed back never began.
+            case REPEATED -> reported.contains(state) || state.isProgress() && !reported.contains(Callback.State.RETURNED);
+            case ANY -> true;
+        };
+    }
+
     @Override
     public void connected(OutboundConnection opened) {
         connection = opened;
@@ -154,7 +197,7 @@
             if (host.canCancelAttempts()) {
                 cancelAtWorker(Outcome.TIMEOUT);
             } else {
-                finish(Outcome.TIMEOUT, null, null);
+                finish(Outcome.TIMEOUT);
             }
         }
     }
@@ -162,10 +205,10 @@
     private void cancelAtWorker(Outcome outcome) {
         stage = Stage.CANCELLING;
         boolean finalNotice = request.closed || host.loop().nowUs() >= request.job.deadlineAtUs - DEADLINE_MARGIN_US;
-        host.notifyCancelled(this, () -> finish(outcome, null, null));
+        host.notifyCancelled(this, () -> finish(outcome));
         if (finalNotice) {
             // No further attempt follows, so there is no need to wait until the notice is written.
-            finish(outcome, null, null);
+            finish(outcome);
         }
     }
 
@@ -213,11 +256,8 @@
         if (!rejected) {
             return;
         }
-        if ((part.status() == 503 || part.status() == 504) && part.declined()) {
-            finish(Outcome.FULL, host.parseLoadReport(part.load()), null);
-        } else {
-            finish(Outcome.ERROR, host.parseLoadReport(part.load()), null);
-        }
+        boolean declined = (part.status() == 503 || part.status() == 504) && part.declined();
+        finish(declined ? Outcome.FULL : Outcome.ERROR, host.parseLoadReport(part.load()), null, LateCallbacks.NONE);
     }
 
     /** Two responses arrived for this attempt and the request before it on the connection; they can't be told apart. */
@@ -236,7 +276,7 @@
         if (host.canCancelAttempts()) {
             cancelAtWorker(Outcome.RESET);
         } else {
-            finish(Outcome.RESET, null, null);
+            finish(Outcome.RESET);
         }
     }
 
@@ -254,9 +294,27 @@
         workerConnections.closeGracefully(outbound);
         detachConnection();
         if (stage == Stage.CONNECTING || stage == Stage.SENDING) {
-            finish(Outcome.CONNECT_FAILED, null, null);
+            finish(Outcome.CONNECT_FAILED);
         } else if (stage == Stage.SENT) {
-            finish(Outcome.RESET, null, null);
+            finish(Outcome.RESET);
+        }
+    }
+
+    /**
+     * Ends the attempt after a callback that may be about it or about an earlier attempt at the same worker: the worker may run the job
+     * or have ended it. A job that may be repeated is given up there. Any other one remains outstanding, as does one that can't be
+     * cancelled: another attempt would run it twice if the callback was about the earlier attempt.
+     */
+    void endInDoubt() {
+        if (!host.isRepeatable(request) || !host.canCancelAttempts()) {
+            return;
+        }
+        if (stage == Stage.SENDING || stage == Stage.SENT) {
+            workerConnections.abort(connection);
+            detachConnection();
+        }
+        if (stage != Stage.CANCELLING) {
+            cancelAtWorker(Outcome.RESET);
         }
     }
 
@@ -271,7 +329,7 @@
         } else if (connection != null && !isEnded()) {
             closeAfterTimeout(connection); // the callback arrived before the 202
         }
-        finish(outcome, report, result);
+        finish(outcome, report, result, LateCallbacks.REPEATED);
     }
 
     /** Closes the connection if the response, which is no longer needed, is not complete within the timeout. */
@@ -305,23 +363,30 @@
         switch (stage) {
             case CONNECTING -> {
                 // A connection that opens later is kept for the next attempt.
-                finish(outcome, null, null);
+                finish(outcome);
             }
             case SENDING, SENT -> {
                 workerConnections.abort(connection);
                 detachConnection();
-                finish(outcome, null, null);
+                finish(outcome);
             }
             case ACCEPTED -> cancelAtWorker(outcome);
             default -> { }
         }
     }
 
-    private void finish(Outcome outcome, Report report, byte[] result) {
+    /** Ends the attempt by an event that the worker did not report. */
+    private void finish(Outcome outcome) {
+        boolean reachedWorker = stage == Stage.SENT || stage == Stage.ACCEPTED || stage == Stage.CANCELLING;
+        finish(outcome, null, null, reachedWorker ? LateCallbacks.ANY : LateCallbacks.NONE);
+    }
+
+    private void finish(Outcome outcome, Report report, byte[] result, LateCallbacks late) {
         if (stage == Stage.ENDED) {
             return;
         }
         stage = Stage.ENDED;
+        lateCallbacks = late;
         confirmAcceptance();
         if (timeoutTimer != null) {
             timeoutTimer.cancel();
--- a/node/src/main/java/hookweir/net/CallbackReceiver.java
+++ b/node/src/main/java/hookweir/net/CallbackReceiver.java
@@ -47,10 +47,10 @@
             server.respond(connection, HttpStatus.BAD_REQUEST, null, NO_BODY);
             return;
         }
-        Attempt attempt = attemptOf(callback);
-        if (attempt != null) {
+        CallbackAttribution attribution = attribute(callback);
+        if (attribution.attempt() != null) {
             server.respond(connection, HttpStatus.NO_CONTENT, null, NO_BODY);
-            apply(callback, attempt);
+            apply(callback, attribution);
             return;
         }
         succession.forwardCallback(body, null, known -> {
@@ -63,32 +63,48 @@
     /** Handles a callback forwarded by a peer process; the verdict is whether it belongs to an attempt of this or a further process. */
     void receiveForwarded(byte[] body, PeerConnection from, Consumer<Boolean> verdict) {
         Callback callback = Callback.parse(body);
-        Attempt attempt = callback == null ? null : attemptOf(callback);
-        if (attempt != null) {
+        CallbackAttribution attribution = callback == null ? null : attribute(callback);
+        if (attribution != null && attribution.attempt() != null) {
             invariants.count("call-backs from a neighbour");
-            apply(callback, attempt);
+            apply(callback, attribution);
             verdict.accept(true);
         } else {
             succession.forwardCallback(body, from, verdict);
         }
     }
 
-    /** Returns the attempt of this process to which the callback belongs, or null. */
-    private Attempt attemptOf(Callback callback) {
-        PendingRequest request = pending.byClientId(callback.id());
-        return request == null ? null : lastAttemptAt(request, callback.workerId());
+    private CallbackAttribution attribute(Callback callback) {
+        return CallbackAttribution.of(pending.byClientId(callback.id()), callback.workerId(), callback.state());
+    }
+
+    private void apply(Callback callback, CallbackAttribution attribution) {
+        Attempt attempt = attribution.attempt();
+        switch (attribution.certainty()) {
+            case CERTAIN -> apply(callback, attempt);
+            case DOUBTFUL -> {
+                invariants.count("call-backs in doubt");
+                attempt.recordCallback(callback.state(), false);
+                if (!callback.state().isProgress()) {
+                    attempt.endInDoubt();
+                }
+            }
+            case EXCLUDED -> invariants.count("call-backs for nothing");
+        }
     }
 
     private void apply(Callback callback, Attempt attempt) {
         attempt.confirmAcceptance();
+        boolean returnedAfterStart = callback.state() == Callback.State.RETURNED && attempt.hasStarted();
+        attempt.recordCallback(callback.state(), true);
         Report report = active.loadReport().parseJson(callback.loadReport());
         switch (callback.state()) {
-            case "started" -> progress(attempt, 0);
-            case "running" -> progress(attempt, callback.completedShare());
-            case "done" -> attempt.endByCallback(Outcome.OK, report, callback.result());
-            case "failed" -> attempt.endByCallback(Outcome.ERROR, report, null);
-            case "returned" -> attempt.endByCallback(Outcome.FULL, report, null);
-            case "lost" -> attempt.endByCallback(Outcome.RESET, report, null);
+            case STARTED -> progress(attempt, 0);
+            case RUNNING -> progress(attempt, callback.completedShare());
+            case DONE -> attempt.endByCallback(Outcome.OK, report, callback.result());
+            case FAILED -> attempt.endByCallback(Outcome.ERROR, report, null);
+            // A worker that hands back a job after it began contradicts itself: the job may have run.
+            case RETURNED -> attempt.endByCallback(returnedAfterStart ? Outcome.RESET : Outcome.FULL, report, null);
+            case LOST -> attempt.endByCallback(Outcome.RESET, report, null);
             default -> invariants.count("call-backs of unknown state");
         }
     }
@@ -96,16 +112,4 @@
     private void progress(Attempt attempt, double share) {
         module.progressReported(loop.nowUs(), attempt.request.job.id, attempt.number, attempt.workerId, share);
     }
-
-    /** Returns the last attempt that the named worker may know of, or null. */
-    private static Attempt lastAttemptAt(PendingRequest request, String worker) {
-        Attempt last = null;
-        for (int i = 0; i < request.attempts.size(); i++) {
-            Attempt attempt = request.attempts.get(i);
-            if (attempt.isSent() && attempt.target.name.equals(worker)) {
-                last = attempt;
-            }
-        }
-        return last;
-    }
 }
--- a/node/src/main/java/hookweir/net/server/Callback.java
+++ b/node/src/main/java/hookweir/net/server/Callback.java
@@ -6,18 +6,49 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 
 /**
  * A worker's callback: its report on one job.
  *
  * @param id the request's id
  * @param workerId the worker's id
- * @param state started, running, done, failed, returned or lost
+ * @param state what became of the job
  * @param completedShare the completed share of the job, for running
  * @param result the result's bytes, unaltered, for done
  * @param loadReport a load report, or null
  */
-public record Callback(String id, String workerId, String state, double completedShare, byte[] result, JsonNode loadReport) {
+public record Callback(String id, String workerId, State state, double completedShare, byte[] result, JsonNode loadReport) {
+    /** What a worker reports; the names in lower case stand in callbacks. */
+    public enum State {
+        /** The job began to run. */
+        STARTED,
+        /** The job has run in part. */
+        RUNNING,
+        /** The job has run, and the callback has its result. */
+        DONE,
+        /** The job ended without a result; it may have run. */
+        FAILED,
+        /** The worker hands the job back; it never ran. */
+        RETURNED,
+        /** The job was killed or its worker died; it may have run. */
+        LOST,
+        /** Any other text. */
+        UNKNOWN;
+
+        private static final Map<String, State> BY_NAME = Map.of("started", STARTED, "running", RUNNING, "done", DONE, "failed", FAILED,
+            "returned", RETURNED, "lost", LOST);
+
+        static State of(String name) {
+            return BY_NAME.getOrDefault(name, UNKNOWN);
+        }
+
+        /** Returns whether the job is at the worker and runs. */
+        public boolean isProgress() {
+            return this == STARTED || this == RUNNING;
+        }
+    }
+
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final byte[] EMPTY_RESULT = new byte[0];
 
@@ -54,6 +85,6 @@
         } catch (IOException e) {
             return null;
         }
-        return id == null || from == null || state == null ? null : new Callback(id, from, state, share, result, load);
+        return id == null || from == null || state == null ? null : new Callback(id, from, State.of(state), share, result, load);
     }
 }
