--- a/core/src/main/java/hookweir/room/ResourceBudget.java
+++ b/core/src/main/java/hookweir/room/ResourceBudget.java
@@ -20,6 +20,16 @@
     public static final double MIN_THRESHOLD = 0.75;
     /** Bodies up to this size are read at once: making them wait would cost as much as holding them. */
     public static final int SMALL_BODY_BYTES = 2048;
+    /** The part of each head that is not reserved: it is covered by what a job or a connection takes anyway. */
+    public static final int FREE_HEAD_BYTES = 1024;
+    /** Maximum share of the bytes that heads may take, beside that part. */
+    public static final double MAX_HEAD_SHARE = 0.25;
+    /** Maximum share of the bytes that bodies may take together with small ones, which are not reserved. */
+    public static final double MAX_SMALL_BODY_SHARE = 0.8;
+    /** Maximum share of the bytes that requests waiting behind others may take, beside large heads and bodies. */
+    public static final double MAX_WAITING_SHARE = 0.15;
+    /** What the objects of a waiting request take, beside its text. */
+    private static final int WAITING_REQUEST_BYTES = 512;
 
     /** Maximum share of the descriptors for connections to workers. */
     public static final double MAX_WORKER_CONNECTION_SHARE = 0.45;
@@ -46,6 +56,11 @@
     private long bodyBytes;
     private long resultBytes;
     private long outputBytes;
+    private long headBytes;
+    /** What waiting requests take beside large heads and bodies. */
+    private long waitingBytes;
+    /** The part of it that is not counted as bodies. */
+    private long waitingOverheadBytes;
     private int heldJobs;
     private int maxDescriptors;
 
@@ -130,9 +145,8 @@
 
     /** Decides whether a completely received job is accepted. Its body has been counted already. */
     public Admission admitJob(int requestClass) {
-        double full = Math.max((double) heldJobs / maxJobs, bodyBytes / (maxBytes * MAX_BODY_SHARE));
-        // A job whose body was admitted is not rejected because of that body's size.
-        if (heldJobs >= maxJobs * threshold(requestClass) || full > 1.0 + (double) SMALL_BODY_BYTES / maxBytes) {
+        // A job whose body was reserved is not rejected for it; small bodies are not reserved.
+        if (heldJobs >= maxJobs * threshold(requestClass) || bodyBytes > maxBytes * MAX_SMALL_BODY_SHARE + SMALL_BODY_BYTES) {
             return Admission.REJECT;
         }
         heldJobs++;
@@ -148,6 +162,52 @@
         return Admission.WAIT;
     }
 
+    /** Returns how many bytes of a head of this size have to be reserved. */
+    public static int chargedHeadBytes(int bytes) {
+        return Math.max(0, bytes - FREE_HEAD_BYTES);
+    }
+
+    /** Reserves memory for a part of a head; returns false if there is none. */
+    public boolean reserveHead(int bytes) {
+        if (headBytes + bytes > maxBytes * MAX_HEAD_SHARE || heldBytes() + bytes > maxBytes) {
+            return false;
+        }
+        headBytes += bytes;
+        return true;
+    }
+
+    /** Releases a head, or part of its reservation. */
+    public void releaseHead(int bytes) {
+        headBytes -= bytes;
+    }
+
+    /** Counts a request with a head and a body of these sizes that waits behind another one on its connection. */
+    public void addWaiting(int requestHeadBytes, int requestBodyBytes) {
+        int overhead = waitingOverhead(requestHeadBytes);
+        waitingOverheadBytes += overhead;
+        waitingBytes += overhead + smallBody(requestBodyBytes);
+    }
+
+    /** Counts such a request that no longer waits. */
+    public void removeWaiting(int requestHeadBytes, int requestBodyBytes) {
+        int overhead = waitingOverhead(requestHeadBytes);
+        waitingOverheadBytes -= overhead;
+        waitingBytes -= overhead + smallBody(requestBodyBytes);
+    }
+
+    private static int waitingOverhead(int requestHeadBytes) {
+        return WAITING_REQUEST_BYTES + Math.min(requestHeadBytes, FREE_HEAD_BYTES);
+    }
+
+    private static int smallBody(int bytes) {
+        return bytes <= SMALL_BODY_BYTES ? bytes : 0;
+    }
+
+    /** Returns whether no further request may wait behind another one. */
+    public boolean isWaitingLimitReached() {
+        return waitingBytes >= maxBytes * MAX_WAITING_SHARE;
+    }
+
     /** Releases a job body, or part of its reservation. */
     public void releaseBody(int bytes) {
         bodyBytes -= bytes;
@@ -180,7 +240,7 @@
 
     /** Returns the bytes held, of all kinds. */
     public long heldBytes() {
-        return bodyBytes + resultBytes + outputBytes;
+        return bodyBytes + resultBytes + outputBytes + headBytes + waitingOverheadBytes;
     }
 
     /** Returns the bytes of job bodies held. */
--- a/lab/src/main/java/hookweir/lab/lives/SchedulerProcess.java
+++ b/lab/src/main/java/hookweir/lab/lives/SchedulerProcess.java
@@ -105,6 +105,19 @@
         return getStatus(adminPort, "/admin/health");
     }
 
+    /** Returns a page of the admin address, with its head. */
+    String adminPage(String name) throws IOException {
+        try (Socket s = new Socket(InetAddress.getLoopbackAddress(), adminPort)) {
+            s.getOutputStream().write(("GET /admin/" + name + " HTTP/1.1\r\nHost: h\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            return new String(s.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    /** The id of the process. */
+    long pid() {
+        return process.pid();
+    }
+
     /**
      * Requests a page and returns its HTTP status, 0 without a response. As the request passes through the event loop, a response means
      * that the scheduler has read everything written to it before.
--- a/node/src/main/java/hookweir/net/MessageReader.java
+++ b/node/src/main/java/hookweir/net/MessageReader.java
@@ -27,6 +27,9 @@
     protected int lineEnd;
     private Part part = Part.START_LINE;
     private boolean afterCr;
+    /** Bytes of lines since the start of the message or the last chunk. */
+    private int lineBytes;
+    /** Bytes of the message's start line and headers read so far. */
     private int headBytes;
     private long remaining;
     private int fault;
@@ -174,8 +177,18 @@
         return b >= '0' && b <= '9' || b >= 'A' && b <= 'Z' || b >= 'a' && b <= 'z' || b > ' ' && "!#$%&'*+-.^_`|~".indexOf(b) >= 0;
     }
 
+    /** Returns how many bytes of the current message's head, or of a line behind it, are held. */
+    public final int heldHeadBytes() {
+        return isInHead() ? headBytes : headBytes + lineEnd;
+    }
+
+    private boolean isInHead() {
+        return part == Part.START_LINE || part == Part.HEADERS;
+    }
+
     private void readLineByte(byte b) {
-        if (++headBytes > Transport.MAX_HEADER_BYTES) {
+        headBytes += isInHead() ? 1 : 0;
+        if (++lineBytes > Transport.MAX_HEADER_BYTES) {
             fault = HEADER_FIELDS_TOO_LARGE;
         } else if (strict && (afterCr ? b != '\n' : b == '\n' || b < ' ' && b != '\t' && b != '\r' || b == 0x7f)) {
             // Some parsers end a line at a bare CR or LF and others do not; other control characters are not allowed in a head.
@@ -255,7 +268,7 @@
             fault = BAD_REQUEST;
             return;
         }
-        headBytes = 0;
+        lineBytes = 0;
         remaining = size;
         part = size > 0 ? Part.CHUNK : Part.TRAILERS;
         if (size > 0) {
@@ -266,10 +279,11 @@
     private void endMessage() {
         complete = true;
         part = Part.START_LINE;
-        headBytes = 0;
+        lineBytes = 0;
         if (line.length > MAX_RETAINED_LINE_BYTES) {
             line = EMPTY; // don't retain the memory of one long line for the lifetime of the connection
         }
         onMessageEnd();
+        headBytes = 0;
     }
 }
--- a/node/src/main/java/hookweir/net/server/BodyReservations.java
+++ b/node/src/main/java/hookweir/net/server/BodyReservations.java
@@ -3,7 +3,7 @@
 import hookweir.net.Invariants;
 import hookweir.room.ResourceBudget;
 
-/** Returns memory that was reserved for request bodies to the process's {@link ResourceBudget}. Belongs to the loop. */
+/** Reserves memory for requests, and returns it to the process's {@link ResourceBudget}. Belongs to the loop. */
 final class BodyReservations {
     private static final String CALLBACK_PATH = "/callback";
 
@@ -27,8 +27,33 @@
         return path.equals(CALLBACK_PATH);
     }
 
-    /** Ends the reservation of the message being read: keeps the bytes that its body takes and releases the rest. */
-    void consume(InboundConnection connection, int bodyBytes) {
+    /** Adjusts the reservation of the head being read to its size; false if there is no memory for it. */
+    boolean reserveHead(InboundConnection connection, int headBytes) {
+        int more = ResourceBudget.chargedHeadBytes(headBytes) - connection.reservedHeadBytes;
+        if (more > 0 && !budget.reserveHead(more)) {
+            return false;
+        }
+        if (more < 0) {
+            budget.releaseHead(-more);
+        }
+        connection.reservedHeadBytes += more;
+        return true;
+    }
+
+    /** Ends the reservations of a message that was read: the request keeps its head and the bytes that its body takes. */
+    void complete(InboundConnection connection, InboundRequest request) {
+        connection.reservedHeadBytes = 0;
+        releaseUnusedBody(connection, request.body().length);
+    }
+
+    /** Ends the reservations of a message that will not be read to its end. */
+    void abandon(InboundConnection connection) {
+        budget.releaseHead(connection.reservedHeadBytes);
+        connection.reservedHeadBytes = 0;
+        releaseUnusedBody(connection, 0);
+    }
+
+    private void releaseUnusedBody(InboundConnection connection, int bodyBytes) {
         int unused = connection.reservedBytes - bodyBytes;
         if (unused > 0) {
             release(connection.receivingCallback, unused);
@@ -38,8 +63,24 @@
         connection.reservedBytes = 0;
     }
 
-    /** Releases the body of a complete request. */
+    /** Whether the requests that wait behind others take as much memory as they may. */
+    boolean isWaitingLimitReached() {
+        return budget.isWaitingLimitReached();
+    }
+
+    /** Counts a request that waits behind another one on its connection. */
+    void addWaiting(InboundRequest request) {
+        budget.addWaiting(request.headBytes(), request.body().length);
+    }
+
+    /** Counts a request that no longer waits. */
+    void removeWaiting(InboundRequest request) {
+        budget.removeWaiting(request.headBytes(), request.body().length);
+    }
+
+    /** Releases the head and the body of a complete request. */
     void release(InboundRequest request) {
+        budget.releaseHead(ResourceBudget.chargedHeadBytes(request.headBytes()));
         if (request.body().length > 0) {
             release(isCallback(request.path()), request.body().length);
         }
--- a/node/src/main/java/hookweir/net/server/CloseReason.java
+++ b/node/src/main/java/hookweir/net/server/CloseReason.java
@@ -8,6 +8,8 @@
     ERROR_ANSWER,
     /** A worker's callback took too long. It gets no response, as any response would end the worker's retries. */
     SLOW_CALLBACK,
+    /** There is no memory for the head of a worker's callback. It gets no response, for the same reason. */
+    CALLBACK_REFUSED,
     /** The connection is idle while clients are being moved to other schedulers. */
     SENT_AWAY,
     /** No request came in time, or the connection was idle for too long. */
--- a/node/src/main/java/hookweir/net/server/InboundConnection.java
+++ b/node/src/main/java/hookweir/net/server/InboundConnection.java
@@ -69,6 +69,8 @@
     long partialRequestSinceUs;
     /** Memory reserved for the body that is being read. */
     int reservedBytes;
+    /** Memory reserved for the head that is being read, or was read and whose body is. */
+    int reservedHeadBytes;
     /** Whether the body being read is that of a worker's callback. */
     boolean receivingCallback;
     /** Since when a body has been waiting for memory; 0 if none is. */
--- a/node/src/main/java/hookweir/net/server/ReadControl.java
+++ b/node/src/main/java/hookweir/net/server/ReadControl.java
@@ -41,7 +41,7 @@
     /** Discards all further input of the connection, and counts the bytes that were discarded just now. */
     void discardInput(InboundConnection connection, int bytes) {
         connection.advanceTo(Phase.IGNORING_INPUT);
-        reservations.consume(connection, 0);
+        reservations.abandon(connection);
         if (connection.isOutputShut() && bytes > 0) {
             invariants.count("ingress bytes after the end");
         }
--- a/node/src/main/java/hookweir/net/server/RequestDecoder.java
+++ b/node/src/main/java/hookweir/net/server/RequestDecoder.java
@@ -280,7 +280,7 @@
             uniqueHeaderValues[REQ_ID_INDEX + 2], uniqueHeaderValues[REQ_ID_INDEX + 3], uniqueHeaderValues[REQ_ID_INDEX + 4],
             uniqueHeaderValues[REQ_ID_INDEX + 5], uniqueHeaderValues[REQ_ID_INDEX + 6], uniqueHeaderValues[IDEMPOTENCY_KEY_INDEX], contentType);
         request = new InboundRequest(method, path, query, headers, bodyBytes == body.length ? body : Arrays.copyOf(body, bodyBytes),
-            keepAlive(), http10);
+            keepAlive(), http10, heldHeadBytes());
         body = NO_BODY;
         bodyBytes = 0;
     }
--- a/node/src/main/java/hookweir/net/server/RequestQueue.java
+++ b/node/src/main/java/hookweir/net/server/RequestQueue.java
@@ -60,6 +60,7 @@
         connection.requestReceived = true;
         if (connection.currentRequest != null) {
             connection.pipelined.add(request);
+            reservations.addWaiting(request);
             return;
         }
         handle(connection, request);
@@ -127,7 +128,11 @@
         if (isFinal) {
             closer.close(connection, CloseReason.LAST_ANSWER);
         } else if (!connection.pipelined.isEmpty()) {
-            handle(connection, connection.pipelined.poll());
+            InboundRequest next = connection.pipelined.poll();
+            reservations.removeWaiting(next);
+            handle(connection, next);
+            readBuffered.accept(connection);
+        } else if (connection.unparsedInput != null && !connection.isClosing()) {
             readBuffered.accept(connection);
         } else if (connection.errorStatus != 0 && !connection.isClosing()) {
             closer.closeWithError(connection);
@@ -136,6 +141,7 @@
 
     /** Drops the requests of a closed connection that were not handled yet. */
     void discardPending(InboundConnection connection) {
+        connection.pipelined.forEach(reservations::removeWaiting);
         connection.pipelined.forEach(reservations::release);
         connection.pipelined.clear();
     }
--- a/node/src/main/java/hookweir/net/server/RequestReader.java
+++ b/node/src/main/java/hookweir/net/server/RequestReader.java
@@ -48,6 +48,10 @@
                 return;
             }
             at = decoder.feed(bytes, at, to);
+            if (decoder.fault() == 0 && !decoder.isComplete() && !reservations.reserveHead(connection, decoder.heldHeadBytes())) {
+                rejectHead(connection, decoder.path(), decoder.className());
+                return;
+            }
             if (decoder.announcedBodyBytes() > 0 && decoder.fault() == 0 && !admission.admit(connection)) {
                 readControl.setUnparsedInput(connection, Arrays.copyOfRange(bytes, at, to));
                 return;
@@ -59,7 +63,11 @@
             }
             if (decoder.isComplete()) {
                 InboundRequest request = decoder.takeRequest();
-                reservations.consume(connection, request.body().length);
+                if (!reservations.reserveHead(connection, request.headBytes())) {
+                    rejectHead(connection, request.path(), request.headers().kind());
+                    return;
+                }
+                reservations.complete(connection, request);
                 requestQueue.enqueue(connection, request);
             }
         }
@@ -72,6 +80,15 @@
         }
     }
 
+    /** Rejects a request for whose head there is no memory. A callback gets no response, as any response would end its repetition. */
+    private void rejectHead(InboundConnection connection, String path, String className) {
+        if (path != null && BodyReservations.isCallback(path)) {
+            closer.close(connection, CloseReason.CALLBACK_REFUSED);
+        } else {
+            admission.reject(connection, className);
+        }
+    }
+
     /** Parses the buffered input, unless something still blocks it. */
     void readBuffered(InboundConnection connection) {
         if (connection.unparsedInput != null && connection.budgetWaitSinceUs == 0 && !isBlocked(connection)) {
@@ -82,8 +99,9 @@
     }
 
     /** Whether parsing is suspended until a response was sent or the connection is no longer throttled. */
-    private static boolean isBlocked(InboundConnection connection) {
-        return connection.pipelined.size() >= MAX_PIPELINED_REQUESTS || connection.throttled;
+    private boolean isBlocked(InboundConnection connection) {
+        return connection.pipelined.size() >= MAX_PIPELINED_REQUESTS || connection.throttled
+            || connection.currentRequest != null && reservations.isWaitingLimitReached();
     }
 
     /**
--- a/node/src/test/java/hookweir/net/ResourceLimitsTest.java
+++ b/node/src/test/java/hookweir/net/ResourceLimitsTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import hookweir.room.ResourceBudget;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.file.Files;
@@ -48,6 +49,77 @@
         }
     }
 
+    private static String longHeadJob(String id, int headBytes) {
+        return job(id).replace("/api ", "/api?q=" + "a".repeat(headBytes) + " ");
+    }
+
+    /** Heads were counted by no limit, so that bad clients could fill the heap. Clients with short heads are served meanwhile. */
+    @Test
+    void largeHeadsAreRejectedBeyondTheirShare() throws Exception {
+        int headBytes = 15_000;
+        int fitting = (int) (262_144 * ResourceBudget.MAX_HEAD_SHARE / (headBytes - ResourceBudget.FREE_HEAD_BYTES));
+        List<Socket> clients = new ArrayList<>();
+        try (TestNode scheduler = new TestNode("read_like", 20_000_000, "'sockets':128,'held_bytes':262144"); Socket usual = scheduler.connect()) {
+            for (int i = 0; i < fitting; i++) {
+                clients.add(scheduler.connect());
+                send(clients.get(i), longHeadJob("h" + i, headBytes));
+                scheduler.awaitCount("requests", i + 1);
+            }
+            try (Socket tooMany = scheduler.connect()) {
+                send(tooMany, longHeadJob("x", headBytes));
+                assertTrue(receive(tooMany).startsWith("HTTP/1.1 429"));
+                assertEquals(-1, tooMany.getInputStream().read());
+            }
+            try (Socket unfinished = scheduler.connect()) {
+                send(unfinished, "GET /api?" + "a".repeat(headBytes));
+                assertTrue(receive(unfinished).startsWith("HTTP/1.1 429"), "a head that is being read counts, too");
+            }
+            new AutoWorker(scheduler, true);
+            send(usual, job("usual"));
+            assertTrue(receive(usual).startsWith("HTTP/1.1 200"));
+            for (Socket client : clients) {
+                assertTrue(receive(client).startsWith("HTTP/1.1 200"));
+            }
+            send(clients.get(0), longHeadJob("again", headBytes));
+            assertTrue(receive(clients.get(0)).startsWith("HTTP/1.1 200"), "the heads were released with their requests");
+        } finally {
+            for (Socket client : clients) {
+                client.close();
+            }
+        }
+    }
+
+    /** Where the requests behind others take all that they may, the rest waits unread, and all of them get their responses. */
+    @Test
+    void requestsBehindOthersWaitUnreadBeyondTheirShare() throws Exception {
+        int connections = 20;
+        int requests = 8;
+        List<Socket> clients = new ArrayList<>();
+        try (TestNode scheduler = new TestNode("read_like", 20_000_000, "'sockets':128,'held_bytes':262144")) {
+            for (int i = 0; i < connections; i++) {
+                clients.add(scheduler.connect());
+                StringBuilder all = new StringBuilder();
+                for (int k = 0; k < requests; k++) {
+                    all.append(job("w" + i + "-" + k));
+                }
+                send(clients.get(i), all.toString());
+            }
+            scheduler.awaitCount("requests", connections);
+            scheduler.awaitIoRounds();
+            new AutoWorker(scheduler, true);
+            for (Socket client : clients) {
+                for (int k = 0; k < requests; k++) {
+                    String response = receive(client);
+                    assertTrue(response.startsWith("HTTP/1.1 200"), response);
+                }
+            }
+        } finally {
+            for (Socket client : clients) {
+                client.close();
+            }
+        }
+    }
+
     /** A reloaded configuration allows fewer jobs than are pending: these go on, and new ones are rejected until the count is below the limit. */
     @Test
     void loweredJobLimitKeepsPendingJobs() throws Exception {
