--- a/lab/src/test/java/hookweir/lab/lives/MemoryBoundsTest.java
+++ b/lab/src/test/java/hookweir/lab/lives/MemoryBoundsTest.java
@@ -98,8 +98,8 @@
     }
 
     private static String job(String id, String requestClass, String query, int bodyBytes) {
-        return "POST /api?" + query + " HTTP/1.1\r\nHost: h\r\nReq-Id: " + id + "\r\nReq-Kind: " + requestClass + "\r\nReq-Deadline-Ms: 20000\r\nContent-Length: "
-            + bodyBytes + "\r\n\r\n" + "b".repeat(bodyBytes);
+        return "POST /api?" + query + " HTTP/1.1\r\nHost: h\r\nReq-Id: " + id + "\r\nReq-Kind: " + requestClass
+            + "\r\nReq-Deadline-Ms: 20000\r\nContent-Length: " + bodyBytes + "\r\n\r\n" + "b".repeat(bodyBytes);
     }
 
     /** A worker that runs the jobs of usual clients at once and never ends others. */
