Read over the fixes: one question to peers, two predicates, one reader of messages

No behaviour changes.

- PeerProcesses: callbacks and claims share one ask() that partitions the peers; a claim no longer builds three lists for each request of a process that has no peer.
PeerConnection keeps its own silence (the timeout callback and a field set from outside are gone).
- ConnectionWaitQueue takes two predicates in place of an interface and an inner class that wrapped them.
- Attempt: closing and forgetting the connection stood three times, now abortConnection().
- Waiting requests of a closed connection are released in one pass; known ids are copied once.
- MemoryBoundsTest had written BlockingHttp.readMessage again; two tests and UpgradeTest sent the same first list (TestNode.acceptWatchAndSendList).
Assertions are as they were.

--- a/lab/src/test/java/hookweir/lab/lives/MemoryBoundsTest.java
+++ b/lab/src/test/java/hookweir/lab/lives/MemoryBoundsTest.java
@@ -134,11 +134,12 @@
         }
 
         private void serve(Socket connection) throws IOException {
-            for (String request = receive(connection); !request.isEmpty(); request = receive(connection)) {
-                connection.getOutputStream().write("HTTP/1.1 202 A\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
-                Matcher usual = Pattern.compile("Req-Id: (usual-\\d+)\r\n").matcher(request);
-                if (usual.find()) {
-                    String body = "{\"id\":\"" + usual.group(1) + "\",\"from\":\"usual\",\"state\":\"done\",\"result\":\"r\"}";
+            InputStream in = connection.getInputStream();
+            for (BlockingHttp.Message request = BlockingHttp.readMessage(in); request != null; request = BlockingHttp.readMessage(in)) {
+                BlockingHttp.write(connection, "HTTP/1.1 202 A\r\nContent-Length: 0\r\n\r\n");
+                String id = BlockingHttp.header(request.head(), "Req-Id");
+                if (id != null && id.startsWith("usual-")) {
+                    String body = "{\"id\":\"" + id + "\",\"from\":\"usual\",\"state\":\"done\",\"result\":\"r\"}";
                     exchange(schedulerPort, "POST /callback HTTP/1.1\r\nHost: h\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
                 }
             }
@@ -150,27 +151,13 @@
         }
     }
 
-    /** Reads a message with a Content-Length; empty if the connection ends before. */
-    private static String receive(Socket socket) throws IOException {
-        InputStream in = socket.getInputStream();
-        StringBuilder head = new StringBuilder();
-        while (head.length() < 4 || head.indexOf("\r\n\r\n", head.length() - 4) < 0) {
-            int b = in.read();
-            if (b < 0) {
-                return "";
-            }
-            head.append((char) b);
-        }
-        Matcher length = Pattern.compile("Content-Length: (\\d+)").matcher(head);
-        return head + new String(in.readNBytes(length.find() ? Integer.parseInt(length.group(1)) : 0), StandardCharsets.ISO_8859_1);
-    }
-
-    /** Sends a message on a connection of its own and returns the response. */
+    /** Sends a message on a connection of its own and returns the head of the response; empty if the connection ends before. */
     private static String exchange(int port, String message) throws IOException {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
             socket.setSoTimeout(15_000);
-            socket.getOutputStream().write(message.getBytes(StandardCharsets.ISO_8859_1));
-            return receive(socket);
+            BlockingHttp.write(socket, message);
+            BlockingHttp.Message response = BlockingHttp.readMessage(socket.getInputStream());
+            return response == null ? "" : response.head();
         }
     }
 
--- a/node/src/main/java/hookweir/net/Attempt.java
+++ b/node/src/main/java/hookweir/net/Attempt.java
@@ -192,8 +192,7 @@
     /** A 202 may be on its way, and then closing the connection does not cancel the job: the worker is notified before a retry. */
     private void acceptTimedOut() {
         if (stage == Stage.SENT) {
-            workerConnections.abort(connection);
-            detachConnection();
+            abortConnection();
             if (host.canCancelAttempts()) {
                 cancelAtWorker(Outcome.TIMEOUT);
             } else {
@@ -310,8 +309,7 @@
             return;
         }
         if (stage == Stage.SENDING || stage == Stage.SENT) {
-            workerConnections.abort(connection);
-            detachConnection();
+            abortConnection();
         }
         if (stage != Stage.CANCELLING) {
             cancelAtWorker(Outcome.RESET);
@@ -349,6 +347,12 @@
         responseTimer = host.loop().schedule(timeoutUs, onTimeout);
     }
 
+    /** Closes the connection at once, which abandons the attempt at a worker that has not responded. */
+    private void abortConnection() {
+        workerConnections.abort(connection);
+        detachConnection();
+    }
+
     /** Gives up ownership of the connection and stops waiting for a response on it. */
     private void detachConnection() {
         connection = null;
@@ -366,8 +370,7 @@
                 finish(outcome);
             }
             case SENDING, SENT -> {
-                workerConnections.abort(connection);
-                detachConnection();
+                abortConnection();
                 finish(outcome);
             }
             case ACCEPTED -> cancelAtWorker(outcome);
--- a/node/src/main/java/hookweir/net/RequestClaims.java
+++ b/node/src/main/java/hookweir/net/RequestClaims.java
@@ -2,7 +2,6 @@
 
 import hookweir.net.upgrade.PeerConnection;
 import hookweir.net.upgrade.PeerProcesses;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -68,7 +67,7 @@
 
     /** Returns all ids that this process knows, the pending ones last. */
     Set<String> knownIds() {
-        Set<String> known = new LinkedHashSet<>(ids.all());
+        Set<String> known = ids.all();
         known.addAll(pending.clientIds());
         return known;
     }
--- a/node/src/main/java/hookweir/net/RequestIds.java
+++ b/node/src/main/java/hookweir/net/RequestIds.java
@@ -1,8 +1,7 @@
 package hookweir.net;
 
 import hookweir.net.server.RequestParser;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.LinkedHashSet;
 import java.util.Set;
 
 /**
@@ -34,9 +33,9 @@
         return own.contains(id) || ofPeers.contains(id);
     }
 
-    /** Returns all ids. */
-    List<String> all() {
-        List<String> all = new ArrayList<>(ofPeers);
+    /** Returns a copy of all ids. */
+    Set<String> all() {
+        Set<String> all = new LinkedHashSet<>(ofPeers);
         all.addAll(own);
         return all;
     }
--- a/node/src/main/java/hookweir/net/server/RequestQueue.java
+++ b/node/src/main/java/hookweir/net/server/RequestQueue.java
@@ -141,8 +141,10 @@
 
     /** Drops the requests of a closed connection that were not handled yet. */
     void discardPending(InboundConnection connection) {
-        connection.pipelined.forEach(reservations::removeWaiting);
-        connection.pipelined.forEach(reservations::release);
+        connection.pipelined.forEach(request -> {
+            reservations.removeWaiting(request);
+            reservations.release(request);
+        });
         connection.pipelined.clear();
     }
 }
--- a/node/src/main/java/hookweir/net/upgrade/PeerConnection.java
+++ b/node/src/main/java/hookweir/net/upgrade/PeerConnection.java
@@ -38,8 +38,8 @@
     final boolean predecessor;
     /** Whether the peer process serves clients. */
     boolean serving;
-    /** Whether the peer process left a claim without a verdict; no claim waits for it then. */
-    boolean unresponsive;
+    /** Whether the peer process left a question without a verdict and has sent none since. */
+    private boolean unresponsive;
     private final SocketChannel channel;
     private final Loop loop;
     private final FrameListener listener;
@@ -126,23 +126,31 @@
     }
 
     /**
-     * Asks the peer whether a callback or a claim concerns one of its jobs. The verdict arrives once, by {@link #completeVerdict}, or as
+     * Asks the peer whether a callback or a claim concerns one of its jobs. The verdict arrives once, by {@link #verdictReceived}, or as
      * false after the timeout or when the connection is closed.
-     *
-     * @param onTimeout runs before the verdict if the peer sends none in time
      */
-    void ask(int kind, byte[] payload, long timeoutUs, Runnable onTimeout, Consumer<Boolean> onVerdict) {
+    void ask(int kind, byte[] payload, long timeoutUs, Consumer<Boolean> onVerdict) {
         int number = ++lastQuestionNumber;
         TimerWheel.Timer timer = loop.schedule(timeoutUs, () -> {
-            onTimeout.run();
+            unresponsive = true;
             completeVerdict(number, false);
         });
         openQuestions.put(number, new Question(onVerdict, timer));
         send(kind, number, payload);
     }
 
-    /** Delivers the verdict on a question; later ones for the same number are ignored. */
-    void completeVerdict(int number, boolean known) {
+    /** Returns whether the peer process may accept requests and responds to questions. */
+    boolean mayAcceptRequests() {
+        return !unresponsive && (predecessor || serving);
+    }
+
+    /** Handles a verdict that the peer has sent; later ones for the same number are ignored. */
+    void verdictReceived(int number, boolean known) {
+        unresponsive = false;
+        completeVerdict(number, known);
+    }
+
+    private void completeVerdict(int number, boolean known) {
         Question question = openQuestions.remove(number);
         if (question != null) {
             question.timeoutTimer.cancel();
--- a/node/src/main/java/hookweir/net/upgrade/PeerProcesses.java
+++ b/node/src/main/java/hookweir/net/upgrade/PeerProcesses.java
@@ -15,7 +15,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * The other processes of this scheduler during an upgrade, when an old process and its successor run side by side. They
@@ -134,10 +137,11 @@
     }
 
     private void addPeer(SocketChannel channel, boolean predecessor) {
-        peers.add(new PeerConnection(channel, predecessor, loop, this::frameReceived, this::connectionLost));
+        PeerConnection added = new PeerConnection(channel, predecessor, loop, this::frameReceived, this::connectionLost);
+        peers.add(added);
         Log.line(predecessor ? "another process serves here, this one follows it" : "another process came to follow this one");
         if (!predecessor) {
-            sendKnownIds(peers.get(peers.size() - 1));
+            sendKnownIds(added);
         }
         listener.peersChanged();
     }
@@ -172,10 +176,7 @@
             }
             case PeerConnection.CALLBACK_FRAME -> listener.callbackForwarded(bytes, from, known -> sendVerdict(from, number, known));
             case PeerConnection.CLAIM_FRAME -> listener.idClaimed(decode(bytes), from, known -> sendVerdict(from, number, known));
-            case PeerConnection.VERDICT_FRAME -> {
-                from.unresponsive = false;
-                from.completeVerdict(number, bytes.length == 1 && bytes[0] == 1);
-            }
+            case PeerConnection.VERDICT_FRAME -> from.verdictReceived(number, bytes.length == 1 && bytes[0] == 1);
             case PeerConnection.KNOWN_IDS_FRAME -> listener.knownIdsReceived(bytes.length == 0 ? List.of() : List.of(decode(bytes).split(ID_SEPARATOR)));
             default -> invariants.count("upgrade message of unknown kind");
         }
@@ -209,7 +210,7 @@
 
     /** Forwards a callback for an unknown job to all peers except the one it came from, which may be null. */
     public void forwardCallback(byte[] callback, PeerConnection source, Consumer<Boolean> verdict) {
-        ask(PeerConnection.CALLBACK_FRAME, callback, CALLBACK_TIMEOUT_US, otherThan(source), List.of(), verdict);
+        ask(PeerConnection.CALLBACK_FRAME, callback, CALLBACK_TIMEOUT_US, source, peer -> true, verdict);
     }
 
     /**
@@ -217,30 +218,24 @@
      * them has used the id already. Only peers that may accept requests are waited for.
      */
     public void claimId(String id, PeerConnection source, Consumer<Boolean> verdict) {
-        List<PeerConnection> awaited = new ArrayList<>(otherThan(source));
-        awaited.removeIf(peer -> peer.unresponsive || !peer.predecessor && !peer.serving);
-        List<PeerConnection> informed = new ArrayList<>(otherThan(source));
-        informed.removeAll(awaited);
-        ask(PeerConnection.CLAIM_FRAME, encode(id), CLAIM_TIMEOUT_US, awaited, informed, verdict);
-    }
-
-    private List<PeerConnection> otherThan(PeerConnection source) {
-        return peers.stream().filter(peer -> peer != source).toList();
+        ask(PeerConnection.CLAIM_FRAME, encode(id), CLAIM_TIMEOUT_US, source, PeerConnection::mayAcceptRequests, verdict);
     }
 
-    /** Sends a question to the awaited peers, for the verdict, and to the informed ones, whose verdict doesn't count. */
-    private void ask(int kind, byte[] payload, long timeoutUs, List<PeerConnection> awaited, List<PeerConnection> informed, Consumer<Boolean> verdict) {
-        for (PeerConnection peer : informed) {
-            peer.send(kind, UNNUMBERED, payload);
+    /** Sends a question to all peers but its source. Only the verdicts of the awaited ones count. */
+    private void ask(int kind, byte[] payload, long timeoutUs, PeerConnection source, Predicate<PeerConnection> isAwaited, Consumer<Boolean> verdict) {
+        if (peers.isEmpty()) {
+            verdict.accept(false);
+            return;
         }
+        Map<Boolean, List<PeerConnection>> recipients = peers.stream().filter(peer -> peer != source).collect(Collectors.partitioningBy(isAwaited));
+        recipients.get(false).forEach(peer -> peer.send(kind, UNNUMBERED, payload));
+        List<PeerConnection> awaited = recipients.get(true);
         if (awaited.isEmpty()) {
             verdict.accept(false);
             return;
         }
         VerdictCollector collector = new VerdictCollector(awaited.size(), verdict);
-        for (PeerConnection peer : awaited) {
-            peer.ask(kind, payload, timeoutUs, () -> peer.unresponsive = true, collector::add);
-        }
+        awaited.forEach(peer -> peer.ask(kind, payload, timeoutUs, collector::add));
     }
 
     /** Waits for all verdicts, or for the first positive one. */
--- a/node/src/main/java/hookweir/net/worker/ConnectionWaitQueue.java
+++ b/node/src/main/java/hookweir/net/worker/ConnectionWaitQueue.java
@@ -13,28 +13,27 @@
  * again. Used on the loop thread only.
  */
 final class ConnectionWaitQueue {
-    /** Gives connections to waiting calls. */
-    interface ConnectionSource {
-        /** Gives the call an idle connection to its worker, now or after its reuse delay; returns false if there is none for it. */
-        boolean assignIdle(ConnectionWaiter waiter);
-
-        /** Opens a connection for the call; returns false if there may be no further one. */
-        boolean assignNew(ConnectionWaiter waiter);
-    }
-
     /** Maximum number of waiting calls, over all workers; further calls fail at once. */
     private static final int MAX_WAITING = 1024;
 
     private final Loop loop;
     private final Invariants invariants;
-    private final ConnectionSource source;
+    private final Predicate<ConnectionWaiter> assignIdle;
+    private final Predicate<ConnectionWaiter> assignNew;
     private final Set<ConnectionWaiter> waiting = new LinkedHashSet<>();
     private boolean assignmentScheduled;
 
-    ConnectionWaitQueue(Loop loop, Invariants invariants, ConnectionSource source) {
+    /**
+     * Creates an empty queue.
+     *
+     * @param assignIdle gives a call an idle connection to its worker, now or after its reuse delay; false if there is none for it
+     * @param assignNew opens a connection for a call; false if there may be no further one
+     */
+    ConnectionWaitQueue(Loop loop, Invariants invariants, Predicate<ConnectionWaiter> assignIdle, Predicate<ConnectionWaiter> assignNew) {
         this.loop = loop;
         this.invariants = invariants;
-        this.source = source;
+        this.assignIdle = assignIdle;
+        this.assignNew = assignNew;
     }
 
     /**
@@ -80,11 +79,11 @@
         assignmentScheduled = false;
         for (ConnectionWaiter waiter : new ArrayList<>(waiting)) {
             if (!waiter.worker.idleConnections.isEmpty()) {
-                offer(waiter, source::assignIdle);
+                offer(waiter, assignIdle);
             }
         }
         for (ConnectionWaiter waiter : new ArrayList<>(waiting)) {
-            if (!offer(waiter, source::assignNew)) {
+            if (!offer(waiter, assignNew)) {
                 return;
             }
         }
--- a/node/src/main/java/hookweir/net/worker/WorkerConnectionPool.java
+++ b/node/src/main/java/hookweir/net/worker/WorkerConnectionPool.java
@@ -65,7 +65,7 @@
         this.invariants = invariants;
         this.budget = budget;
         this.acceptedCount = acceptedCount;
-        waitQueue = new ConnectionWaitQueue(loop, invariants, new WaitingCallSource());
+        waitQueue = new ConnectionWaitQueue(loop, invariants, call -> assignIdle(call).assigned(), call -> assignNew(call).assigned());
         setLimits(connectTimeoutUs, connIdleUs);
     }
 
@@ -206,19 +206,6 @@
         return Assignment.of(connection);
     }
 
-    /** Gives connections to calls that wait. */
-    private final class WaitingCallSource implements ConnectionWaitQueue.ConnectionSource {
-        @Override
-        public boolean assignIdle(ConnectionWaiter waiter) {
-            return WorkerConnectionPool.this.assignIdle(waiter).assigned();
-        }
-
-        @Override
-        public boolean assignNew(ConnectionWaiter waiter) {
-            return WorkerConnectionPool.this.assignNew(waiter).assigned();
-        }
-    }
-
     /** Returns the choice of {@link IdleConnections#chooseForReuse}, after closing those that the worker has already closed. */
     private OutboundConnection chooseIdle(WorkerEndpoint worker) {
         OutboundConnection chosen = idleConnections.chooseForReuse(worker, loop.nowUs());
--- a/node/src/test/java/hookweir/net/RepeatedCallbacksTest.java
+++ b/node/src/test/java/hookweir/net/RepeatedCallbacksTest.java
@@ -59,6 +59,12 @@
             send(worker, ACCEPTED);
         }
 
+        /** The first worker accepts the third attempt, too, and the scheduler has read that. */
+        void acceptThirdAttempt() throws IOException {
+            send(first, ACCEPTED);
+            scheduler.awaitLoop();
+        }
+
         void report(String worker, String state) throws IOException {
             assertTrue(scheduler.sendCallback(ID, worker, state).startsWith("HTTP/1.1 204"));
         }
@@ -103,8 +109,7 @@
     void repeatedReturnDoesNotEndAnAttemptThatMayStart(boolean accepted) throws Exception {
         try (ThirdAttempt third = new ThirdAttempt(new TestNode("non_idempotent"), "returned")) {
             if (accepted) {
-                send(third.first, ACCEPTED);
-                third.scheduler.awaitLoop();
+                third.acceptThirdAttempt();
             }
             third.report("s-01", "returned");
             third.scheduler.awaitCount("call-backs in doubt", 1);
@@ -128,8 +133,7 @@
     @CsvSource({"read_like,returned", "read_like,failed", "idempotency_key,lost"})
     void attemptInDoubtIsCancelledWhereTheJobMayBeRepeated(String semantics, String state) throws Exception {
         try (ThirdAttempt third = new ThirdAttempt(new TestNode(semantics), state)) {
-            send(third.first, ACCEPTED);
-            third.scheduler.awaitLoop();
+            third.acceptThirdAttempt();
             third.report("s-01", state);
             assertTrue(receive(third.first).startsWith("DELETE /jobs/" + ID + " "));
             third.scheduler.awaitCount("call-backs in doubt", 1);
@@ -140,8 +144,7 @@
     @Test
     void attemptInDoubtRemainsWhereNoneCanBeCancelled() throws Exception {
         try (ThirdAttempt third = new ThirdAttempt(TestNode.withoutCancellation(), "failed")) {
-            send(third.first, ACCEPTED);
-            third.scheduler.awaitLoop();
+            third.acceptThirdAttempt();
             third.report("s-01", "failed");
             third.scheduler.awaitCount("call-backs in doubt", 1);
             third.completeThirdAttempt();
--- a/node/src/test/java/hookweir/net/RequestClaimsTest.java
+++ b/node/src/test/java/hookweir/net/RequestClaimsTest.java
@@ -46,9 +46,7 @@
     /** Starts a second process on the same worker list and waits until it serves. */
     private TestNode startSuccessor(TestNode old) throws Exception {
         TestNode successor = TestNode.withUnconfirmedList("non_idempotent", path());
-        try (Socket watch = successor.acceptWatch(7)) {
-            TestNode.sendListLine(watch, "{'version':8,'full':true,'servers':[" + old.workerEntry("SERVING") + "]}");
-        }
+        successor.acceptWatchAndSendList(old.workerEntry("SERVING"));
         old.awaitCount("clients sent away", 1);
         return successor;
     }
@@ -203,11 +201,9 @@
     }
 
     /** Starts a process whose predecessor is played by the test. */
-    private TestNode startBehind(ServerSocketChannel socket) throws Exception {
+    private TestNode startBehind() throws Exception {
         TestNode scheduler = TestNode.withUnconfirmedList("non_idempotent", path());
-        try (Socket watch = scheduler.acceptWatch(7)) {
-            TestNode.sendListLine(watch, "{'version':8,'full':true,'servers':[" + scheduler.workerEntry("SERVING") + "]}");
-        }
+        scheduler.acceptWatchAndSendList(scheduler.workerEntry("SERVING"));
         while (!scheduler.adminCall("GET", "health").startsWith("HTTP/1.1 200")) {
             Thread.sleep(5);
         }
@@ -223,7 +219,7 @@
     /** Two processes that claim an id at the same time both rejected it, or both accepted it. */
     @Test
     void olderProcessGetsAnIdThatBothClaim() throws Exception {
-        try (ServerSocketChannel socket = bindPath(); TestNode scheduler = startBehind(socket); FakePeer old = new FakePeer(socket.accept());
+        try (ServerSocketChannel socket = bindPath(); TestNode scheduler = startBehind(); FakePeer old = new FakePeer(socket.accept());
                 Socket client = sendJob(scheduler, "t1")) {
             old.expect(CLAIM, "t1");
             old.sendFrame(CLAIM, 7, ascii("t1"));
@@ -249,7 +245,7 @@
     /** A client leaves, and a shutdown begins, while an id is being claimed: nothing is sent, and the process waits for open claims. */
     @Test
     void requestOfDisconnectedClientIsDroppedWhileItsIdIsClaimed() throws Exception {
-        try (ServerSocketChannel socket = bindPath(); TestNode scheduler = startBehind(socket); FakePeer old = new FakePeer(socket.accept())) {
+        try (ServerSocketChannel socket = bindPath(); TestNode scheduler = startBehind(); FakePeer old = new FakePeer(socket.accept())) {
             Socket left = sendJob(scheduler, "l1");
             int claim = old.expect(CLAIM, "l1");
             left.close();
--- a/node/src/test/java/hookweir/net/TestNode.java
+++ b/node/src/test/java/hookweir/net/TestNode.java
@@ -282,6 +282,13 @@
         return watch;
     }
 
+    /** Accepts the first watch and sends a whole list of this worker on it, which then ends. */
+    void acceptWatchAndSendList(String workerEntry) throws IOException {
+        try (Socket firstWatch = acceptWatch(7)) {
+            sendListLine(firstWatch, "{'version':8,'full':true,'servers':[" + workerEntry + "]}");
+        }
+    }
+
     /** Responds with a whole list of one worker in this state. */
     void sendWholeList(Socket call, long version, String state) throws IOException {
         String text = ("{'version':" + version + ",'full':true,'servers':[" + workerEntry(state) + "]}").replace('\'', '"');
--- a/node/src/test/java/hookweir/net/UpgradeTest.java
+++ b/node/src/test/java/hookweir/net/UpgradeTest.java
@@ -93,9 +93,7 @@
     }
 
     private static void sendList(TestNode scheduler) throws IOException {
-        try (Socket watch = scheduler.acceptWatch(7)) {
-            TestNode.sendListLine(watch, "{'version':8,'full':true,'servers':[" + scheduler.workerEntry("SERVING") + "]}");
-        }
+        scheduler.acceptWatchAndSendList(scheduler.workerEntry("SERVING"));
     }
 
     /** Either process may receive the other's callbacks. The old one stops accepting clients until the new one has ended. */
