--- a/node/src/main/java/hookweir/net/server/BodyAdmission.java
+++ b/node/src/main/java/hookweir/net/server/BodyAdmission.java
@@ -52,7 +52,7 @@
      */
     boolean admit(InboundConnection connection) {
         int bytes = connection.decoder.announcedBodyBytes();
-        connection.receivingCallback = BodyReservations.isCallback(connection.decoder.path());
+        connection.receivingCallback = RequestReservations.isCallback(connection.decoder.path());
         if (exceedsClientLimit(connection, connection.decoder.path())) {
             reject(connection, connection.decoder.className());
             return true;
--- a/node/src/main/java/hookweir/net/server/ConnectionSweeper.java
+++ b/node/src/main/java/hookweir/net/server/ConnectionSweeper.java
@@ -68,7 +68,7 @@
         boolean receiving = connection.partialRequestSinceUs != 0;
         boolean timedOut = receiving ? now - connection.partialRequestSinceUs > REQUEST_TIMEOUT_US
             : !connection.requestReceived && now - connection.openedUs > REQUEST_TIMEOUT_US;
-        if (timedOut && receiving && connection.decoder.path() != null && BodyReservations.isCallback(connection.decoder.path())) {
+        if (timedOut && receiving && connection.decoder.path() != null && RequestReservations.isCallback(connection.decoder.path())) {
             // Any response, whatever its status, would end the worker's retries and thereby lose the job.
             invariants.count("ingress slow call-back");
             closer.close(connection, CloseReason.SLOW_CALLBACK);
--- a/node/src/main/java/hookweir/net/server/HttpServer.java
+++ b/node/src/main/java/hookweir/net/server/HttpServer.java
@@ -21,7 +21,7 @@
  */
 public final class HttpServer {
     private final Loop loop;
-    private final BodyReservations reservations;
+    private final RequestReservations reservations;
     private final ReadControl readControl;
     private final ResponseWriter writer;
     private final ConnectionCloser closer;
@@ -40,7 +40,7 @@
     public HttpServer(Loop loop, Transport transport, Invariants invariants, EventLog events, ResourceBudget budget,
             IntSupplier workerConnections, RequestHandler handler) {
         this.loop = loop;
-        reservations = new BodyReservations(invariants, budget, this::budgetReleased);
+        reservations = new RequestReservations(invariants, budget, this::budgetReleased);
         readControl = new ReadControl(loop, invariants, reservations);
         writer = new ResponseWriter(loop, transport, budget);
         closer = new ConnectionCloser(loop, invariants, events, readControl, writer, handler::retryAfter);
--- a/node/src/main/java/hookweir/net/server/ReadControl.java
+++ b/node/src/main/java/hookweir/net/server/ReadControl.java
@@ -18,10 +18,10 @@
 
     private final Loop loop;
     private final Invariants invariants;
-    private final BodyReservations reservations;
+    private final RequestReservations reservations;
     private int unparsedBytes;
 
-    ReadControl(Loop loop, Invariants invariants, BodyReservations reservations) {
+    ReadControl(Loop loop, Invariants invariants, RequestReservations reservations) {
         this.loop = loop;
         this.invariants = invariants;
         this.reservations = reservations;
--- a/node/src/main/java/hookweir/net/server/RequestQueue.java
+++ b/node/src/main/java/hookweir/net/server/RequestQueue.java
@@ -15,7 +15,7 @@
     private final Loop loop;
     private final Invariants invariants;
     private final RequestHandler handler;
-    private final BodyReservations reservations;
+    private final RequestReservations reservations;
     private final ReadControl readControl;
     private final BodyAdmission admission;
     private final ConnectionTable connections;
@@ -29,7 +29,7 @@
      *
      * @param readBuffered parses a connection's buffered input once nothing blocks it any more
      */
-    RequestQueue(Loop loop, Invariants invariants, RequestHandler handler, BodyReservations reservations, ReadControl readControl,
+    RequestQueue(Loop loop, Invariants invariants, RequestHandler handler, RequestReservations reservations, ReadControl readControl,
             BodyAdmission admission, ConnectionTable connections, ConnectionSweeper sweeper, ConnectionCloser closer, ResponseWriter writer,
             Consumer<InboundConnection> readBuffered) {
         this.loop = loop;
--- a/node/src/main/java/hookweir/net/server/RequestReader.java
+++ b/node/src/main/java/hookweir/net/server/RequestReader.java
@@ -17,13 +17,13 @@
 
     private final Loop loop;
     private final Invariants invariants;
-    private final BodyReservations reservations;
+    private final RequestReservations reservations;
     private final ReadControl readControl;
     private final BodyAdmission admission;
     private final ConnectionCloser closer;
     private final RequestQueue requestQueue;
 
-    RequestReader(Loop loop, Invariants invariants, BodyReservations reservations, ReadControl readControl, BodyAdmission admission,
+    RequestReader(Loop loop, Invariants invariants, RequestReservations reservations, ReadControl readControl, BodyAdmission admission,
             ConnectionCloser closer, RequestQueue requestQueue) {
         this.loop = loop;
         this.invariants = invariants;
@@ -82,7 +82,7 @@
 
     /** Rejects a request for whose head there is no memory. A callback gets no response, as any response would end its repetition. */
     private void rejectHead(InboundConnection connection, String path, String className) {
-        if (path != null && BodyReservations.isCallback(path)) {
+        if (path != null && RequestReservations.isCallback(path)) {
             closer.close(connection, CloseReason.CALLBACK_REFUSED);
         } else {
             admission.reject(connection, className);
--- a/node/src/main/java/hookweir/net/server/BodyReservations.java
+++ b/node/src/main/java/hookweir/net/server/RequestReservations.java
@@ -4,7 +4,7 @@
 import hookweir.room.ResourceBudget;
 
 /** Reserves memory for requests, and returns it to the process's {@link ResourceBudget}. Belongs to the loop. */
-final class BodyReservations {
+final class RequestReservations {
     private static final String CALLBACK_PATH = "/callback";
 
     private final Invariants invariants;
@@ -16,7 +16,7 @@
      *
      * @param onReleased runs after each release
      */
-    BodyReservations(Invariants invariants, ResourceBudget budget, Runnable onReleased) {
+    RequestReservations(Invariants invariants, ResourceBudget budget, Runnable onReleased) {
         this.invariants = invariants;
         this.budget = budget;
         this.onReleased = onReleased;
