A waiting call whose time is over fails at once; its test no longer depends on order

Cause, by a trace of the queue in a scratch copy: the test advanced the frozen clock past the call's limit before the loop had handled the end of the reuse delay. The call then returned to the queue 1,000 us after its limit. ConnectionWaitQueue.add scheduled its time limit 0 us ahead; the timer wheel rounds that up to the next tick of 1,024 us, which a frozen clock never reaches. In production the clock runs, so such a call failed up to 1 ms late.

Change: a call that returns to the queue after its limit fails at once. The test runs in both orders: it waits until the call is back in the queue, or lets the limit pass first. The clock is advanced by the wheel's stated resolution beyond the limit (TICK_US, 1,024 us) in place of 1,000 us, as the wheel may fire that late; with 1,000 us about one start time in 43 could not pass.

Ruled out: a timer that is lost, a connection that goes to the wrong call (trace: the same call enters, leaves and enters the queue again with its first limit).

--- a/node/src/main/java/hookweir/net/worker/ConnectionWaitQueue.java
+++ b/node/src/main/java/hookweir/net/worker/ConnectionWaitQueue.java
@@ -37,7 +37,7 @@
     }
 
     /**
-     * Queues a call. Its handler is notified when it gets no connection in time, or at once if the queue is full.
+     * Queues a call. Its handler is notified when it gets no connection in time, or at once if its time is over or the queue is full.
      *
      * @param timeoutUs how long the call waits if it was never queued before
      */
@@ -46,7 +46,7 @@
         if (waiter.queueUntilUs == 0) {
             waiter.queueUntilUs = now + timeoutUs;
         }
-        if (waiting.size() >= MAX_WAITING) {
+        if (now >= waiter.queueUntilUs || waiting.size() >= MAX_WAITING) {
             loop.post(() -> fail(waiter));
             return;
         }
--- a/node/src/test/java/hookweir/net/WaitingCallsTest.java
+++ b/node/src/test/java/hookweir/net/WaitingCallsTest.java
@@ -4,12 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import hookweir.net.worker.WorkerConnectionPool;
+import hookweir.timer.TimerWheel;
 import java.io.IOException;
 import java.net.Socket;
 import java.util.HashSet;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Calls that wait for a connection while all connections to workers are in use or reserved. */
 @Timeout(30)
@@ -108,9 +111,13 @@
         }
     }
 
-    /** A call that lost the connection that it had reserved returned to the queue, and its time limit started anew each time. */
-    @Test
-    void timeLimitOfWaitingCallStartsOnce() throws Exception {
+    /**
+     * A call that lost the connection that it had reserved returned to the queue, and its time limit started anew each time. In the
+     * second case the wait for that connection ends when the limit has passed.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void timeLimitOfWaitingCallStartsOnce(boolean returnsInTime) throws Exception {
         try (ExhaustedPool pool = new ExhaustedPool(); Socket ended = pool.fixture.workerListener.accept()) {
             pool.reportDuplicateResponse();
             pool.fixture.acquire();
@@ -123,9 +130,14 @@
                 pool.fixture.acquire(WorkerConnectionPool.REUSE_NONE);
                 pool.fixture.awaitLoop();
             }
-            pool.advanceClock(WAIT_LIMIT_US * 3 / 4);
-            pool.fixture.awaitLoop();
-            pool.advanceClock(WAIT_LIMIT_US + 1_000);
+            if (returnsInTime) {
+                long waits = pool.count("egress waits for a link");
+                pool.advanceClock(WAIT_LIMIT_US * 3 / 4);
+                while (pool.count("egress waits for a link") == waits) {
+                    pool.fixture.awaitLoop();
+                }
+            }
+            pool.advanceClock(WAIT_LIMIT_US + TimerWheel.TICK_US);
             while (pool.count("calls without a connection") == 0) {
                 pool.fixture.awaitLoop();
             }
