Log client departures, read pauses and late first attempts; two metrics for them

Logged from now on, within the event log's limits: a client that leaves before its response (after how long, attempts so far, input discarded or unparsed, time for which reading was paused and why), each pause in reading, connections that sent too much ahead, requests that begin behind earlier ones, and first attempts later than 0.1 s. Metrics svc_client_disconnects_total and svc_reading_paused.

The disconnect action now runs before the connection's unparsed input is dropped, so that it can be described. No other behaviour changes. Tests of admin, departures, closes, overload, limits and failures pass.

--- a/node/src/main/java/hookweir/net/AttemptSender.java
+++ b/node/src/main/java/hookweir/net/AttemptSender.java
@@ -9,6 +9,8 @@
 /** Sends attempts to workers, cancels them, and reports their outcomes to the decision module. Belongs to the {@link Loop}. */
 final class AttemptSender {
     private static final long US_PER_MS = 1_000;
+    /** A first attempt that begins later than this after its request was accepted is logged. */
+    private static final long LATE_FIRST_ATTEMPT_US = 100_000;
 
     private final SocketHost host;
     private final Loop loop;
@@ -48,6 +50,9 @@
         request.attempts.add(attempt);
         if (number > 0) {
             events.log(() -> "request " + request.clientId() + " retry: attempt " + number + " to " + workerName(worker, workerId));
+        } else if (now - request.acceptedUs > LATE_FIRST_ATTEMPT_US) {
+            events.log(() -> "request " + request.clientId() + " attempt 0 to " + workerName(worker, workerId) + ", "
+                + (now - request.acceptedUs) / US_PER_MS + " ms after it was accepted");
         }
         if (moot) {
             attempt.endUnsent(Outcome.MOOT);
--- a/node/src/main/java/hookweir/net/JobAdmission.java
+++ b/node/src/main/java/hookweir/net/JobAdmission.java
@@ -12,9 +12,11 @@
 /** Admits jobs: validates a request, stores it and hands it to the decision module. Belongs to the {@link Loop}. */
 final class JobAdmission {
     private static final byte[] NO_BODY = new byte[0];
+    private static final long US_PER_MS = 1_000;
 
     private final Loop loop;
     private final Invariants invariants;
+    private final EventLog events;
     private final Metrics metrics;
     private final ActiveSettings active;
     private final ResourceBudget budget;
@@ -24,10 +26,11 @@
     private final Contract.Dispatcher module;
     private int lastRequestId;
 
-    JobAdmission(Loop loop, Invariants invariants, Metrics metrics, ActiveSettings active, ResourceBudget budget, HttpServer server, PendingRequests pending,
+    JobAdmission(Loop loop, Invariants invariants, EventLog events, Metrics metrics, ActiveSettings active, ResourceBudget budget, HttpServer server, PendingRequests pending,
             RequestClaims claims, Contract.Dispatcher module) {
         this.loop = loop;
         this.invariants = invariants;
+        this.events = events;
         this.metrics = metrics;
         this.active = active;
         this.budget = budget;
@@ -60,7 +63,7 @@
             server.respond(connection, HttpStatus.TOO_MANY_REQUESTS, retryAfter(), NO_BODY);
             return false;
         }
-        PendingRequest added = new PendingRequest(parsed, request, connection);
+        PendingRequest added = new PendingRequest(parsed, request, connection, loop.nowUs());
         pending.add(added);
         metrics.jobAccepted();
         server.setClientDisconnectAction(connection, () -> clientDisconnected(added));
@@ -87,12 +90,21 @@
 
     private void clientDisconnected(PendingRequest request) {
         request.closed = true;
-        metrics.jobAbandoned();
+        metrics.clientDisconnected();
         invariants.count("clients gone");
+        logDisconnect(request);
         module.requestAbandoned(loop.nowUs(), request.job.id);
         pending.removeIfFinished(request);
     }
 
+    private void logDisconnect(PendingRequest request) {
+        long now = loop.nowUs();
+        Attempt outstanding = request.outstandingAttempt();
+        events.log(() -> "request " + request.clientId() + " of " + request.client.peerAddress() + ": its client left after "
+            + (now - request.acceptedUs) / US_PER_MS + " ms, " + request.attempts.size() + " attempts, "
+            + (outstanding == null ? "none" : "number " + outstanding.number) + " outstanding; " + request.client.describeInput(now));
+    }
+
     /** Returns the Retry-After value for jobs rejected for lack of capacity; null for none. */
     String retryAfter() {
         Contract.Settings settings = active.settings();
--- a/node/src/main/java/hookweir/net/PendingRequest.java
+++ b/node/src/main/java/hookweir/net/PendingRequest.java
@@ -17,6 +17,8 @@
     final Contract.Request job;
     final InboundRequest httpRequest;
     final InboundConnection client;
+    /** When the request was accepted, in us of the loop's clock. */
+    final long acceptedUs;
     /** The attempts, indexed by attempt number. */
     final List<Attempt> attempts = new ArrayList<>();
     /** The final response was sent, or the client disconnected. */
@@ -26,10 +28,11 @@
     /** Receives whether the request may be accepted; null unless its id is being claimed from the peer processes. */
     Consumer<Boolean> claimResult;
 
-    PendingRequest(Contract.Request job, InboundRequest httpRequest, InboundConnection client) {
+    PendingRequest(Contract.Request job, InboundRequest httpRequest, InboundConnection client, long acceptedUs) {
         this.job = job;
         this.httpRequest = httpRequest;
         this.client = client;
+        this.acceptedUs = acceptedUs;
     }
 
     /** Returns the id assigned by the client. */
--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -74,7 +74,7 @@
         attempts = new AttemptSender(this, loop, invariants, events, active, workerConnections, pending, module);
         prober = new Prober(loop, invariants, active, workerConnections, module);
         callbacks = new CallbackReceiver(loop, invariants, active, server, pending, module, succession);
-        JobAdmission admission = new JobAdmission(loop, invariants, metrics, active, budget, server, pending, claims, module);
+        JobAdmission admission = new JobAdmission(loop, invariants, events, metrics, active, budget, server, pending, claims, module);
         router = new RequestRouter(invariants, standing, metrics, active, server, callbacks, admission);
         shutdown = new Shutdown(loop, invariants, standing, server, pending, module);
         reporter = new StatusReporter(loop, invariants, metrics, budget, server, workerConnections, pending, module, membership);
--- a/node/src/main/java/hookweir/net/StatusReporter.java
+++ b/node/src/main/java/hookweir/net/StatusReporter.java
@@ -55,6 +55,7 @@
     /** Publishes the metrics. The module is queried here, so that serving metrics never waits for the loop. */
     void publish() {
         metrics.setHeld(budget.heldBytes(), budget.maxBytes(), budget.heldJobs(), budget.maxJobs());
+        metrics.setPausedConnections(server.pausedConnectionCount());
         metrics.setListLease(membership.leaseRemainingUs() / US_PER_MS);
         metrics.setWorkers(workerConnections.workerCount(), module.excludedWorkerCount(loop.nowUs()));
     }
--- a/node/src/main/java/hookweir/net/admin/Metrics.java
+++ b/node/src/main/java/hookweir/net/admin/Metrics.java
@@ -20,6 +20,7 @@
 
     private final Map<String, Map<JobOutcome, LongAdder>> outcomes = new ConcurrentSkipListMap<>();
     private final LongAdder dispatches = new LongAdder();
+    private final LongAdder clientDisconnects = new LongAdder();
     private final LongAdder successfulReloads = new LongAdder();
     private final LongAdder failedReloads = new LongAdder();
     private final AtomicInteger concurrentJobs = new AtomicInteger();
@@ -30,6 +31,7 @@
     private volatile int listedWorkers;
     private volatile int excludedWorkers;
     private volatile long listLeaseMs;
+    private volatile int pausedConnections;
 
     /** Makes every class count from 0, even before its first job. The counts of removed classes stay. */
     public void registerClasses(List<String> names) {
@@ -69,6 +71,17 @@
         concurrentJobs.decrementAndGet();
     }
 
+    /** An accepted job ended because its client closed the connection. */
+    public void clientDisconnected() {
+        jobAbandoned();
+        clientDisconnects.increment();
+    }
+
+    /** The number of clients' connections from which nothing is read at present. */
+    public void setPausedConnections(int count) {
+        pausedConnections = count;
+    }
+
     /** The last byte of an attempt was written to a worker. */
     public void attemptDispatched() {
         dispatches.increment();
@@ -107,6 +120,8 @@
                 .append(counts.get(outcome).sum()).append('\n'));
         }
         appendMetric(out, "dispatches_total", "counter", dispatches.sum());
+        appendMetric(out, "client_disconnects_total", "counter", clientDisconnects.sum());
+        appendMetric(out, "reading_paused", "gauge", pausedConnections);
         appendMetric(out, "concurrent", "gauge", concurrentJobs.get());
         appendMetric(out, "targets", "gauge", listedWorkers);
         appendMetric(out, "targets_disabled", "gauge", excludedWorkers);
--- a/node/src/main/java/hookweir/net/server/HttpServer.java
+++ b/node/src/main/java/hookweir/net/server/HttpServer.java
@@ -41,16 +41,16 @@
             IntSupplier workerConnections, RequestHandler handler) {
         this.loop = loop;
         reservations = new RequestReservations(invariants, budget, this::budgetReleased);
-        readControl = new ReadControl(loop, invariants, reservations);
+        readControl = new ReadControl(loop, invariants, events, reservations);
         writer = new ResponseWriter(loop, transport, budget);
         closer = new ConnectionCloser(loop, invariants, events, readControl, writer, handler::retryAfter);
         acceptor = new Acceptor(loop, binding(transport), invariants);
         connections = new ConnectionTable(loop, invariants, budget, workerConnections, acceptor, closer);
         admission = new BodyAdmission(loop, invariants, budget, handler, readControl, closer, writer, connections, this::readBuffered);
         sweeper = new ConnectionSweeper(loop, invariants, budget, connections, admission, closer);
-        requestQueue = new RequestQueue(loop, invariants, handler, reservations, readControl, admission, connections, sweeper, closer, writer,
+        requestQueue = new RequestQueue(loop, invariants, events, handler, reservations, readControl, admission, connections, sweeper, closer, writer,
             this::readBuffered);
-        reader = new RequestReader(loop, invariants, reservations, readControl, admission, closer, requestQueue);
+        reader = new RequestReader(loop, invariants, events, reservations, readControl, admission, closer, requestQueue);
     }
 
     private TCPNIOBindingHandler binding(Transport transport) {
@@ -121,6 +121,11 @@
         return !writer.isWriting() && connections.hasOnlyIdleCallbackConnections();
     }
 
+    /** The number of connections from which nothing is read at present. */
+    public int pausedConnectionCount() {
+        return readControl.pausedConnections();
+    }
+
     /** The number of open connections. */
     public int connectionCount() {
         return connections.size();
@@ -144,17 +149,18 @@
             connection.advanceTo(Phase.CLOSED);
             connections.remove(connection);
             admission.connectionClosed(connection);
+            Runnable onDisconnect = connection.onDisconnect;
+            connection.onDisconnect = null;
+            if (onDisconnect != null) {
+                onDisconnect.run();
+            }
+            readControl.connectionClosed(connection);
             requestQueue.discardPending(connection);
             readControl.setUnparsedInput(connection, null);
             readControl.discardInput(connection, 0);
             if (connection.lingerTimer != null) {
                 connection.lingerTimer.cancel();
             }
-            if (connection.onDisconnect != null) {
-                Runnable action = connection.onDisconnect;
-                connection.onDisconnect = null;
-                action.run();
-            }
         }
     }
 }
--- a/node/src/main/java/hookweir/net/server/InboundConnection.java
+++ b/node/src/main/java/hookweir/net/server/InboundConnection.java
@@ -85,6 +85,7 @@
     int discardedBytes;
     /** Whether reading is paused because too much input was discarded. */
     boolean discardPaused;
+    final InputStatistics inputStatistics = new InputStatistics();
     /** The timer that limits a lingering close. */
     TimerWheel.Timer lingerTimer;
 
@@ -95,10 +96,15 @@
     }
 
     /** The client's address, for the log. */
-    String peerAddress() {
+    public String peerAddress() {
         return String.valueOf(transportConnection.getPeerAddress());
     }
 
+    /** What became of the client's input so far, for the log. */
+    public String describeInput(long nowUs) {
+        return inputStatistics.describe(nowUs, unparsedInput == null ? 0 : unparsedInput.length);
+    }
+
     /** Advances to a later phase; returns false if the connection is already in that phase or a later one. */
     boolean advanceTo(Phase next) {
         if (next.compareTo(phase) <= 0) {
--- a/node/src/main/java/hookweir/net/server/ReadControl.java
+++ b/node/src/main/java/hookweir/net/server/ReadControl.java
@@ -1,5 +1,6 @@
 package hookweir.net.server;
 
+import hookweir.net.EventLog;
 import hookweir.net.Invariants;
 import hookweir.net.Loop;
 import hookweir.net.server.InboundConnection.Phase;
@@ -18,12 +19,15 @@
 
     private final Loop loop;
     private final Invariants invariants;
+    private final EventLog events;
     private final RequestReservations reservations;
     private int unparsedBytes;
+    private int pausedConnections;
 
-    ReadControl(Loop loop, Invariants invariants, RequestReservations reservations) {
+    ReadControl(Loop loop, Invariants invariants, EventLog events, RequestReservations reservations) {
         this.loop = loop;
         this.invariants = invariants;
+        this.events = events;
         this.reservations = reservations;
     }
 
@@ -32,6 +36,11 @@
         return unparsedBytes;
     }
 
+    /** The number of connections from which nothing is read at present. */
+    int pausedConnections() {
+        return pausedConnections;
+    }
+
     /** Replaces the connection's unparsed input; null if there is none. */
     void setUnparsedInput(InboundConnection connection, byte[] bytes) {
         unparsedBytes += (bytes == null ? 0 : bytes.length) - (connection.unparsedInput == null ? 0 : connection.unparsedInput.length);
@@ -46,6 +55,7 @@
             invariants.count("ingress bytes after the end");
         }
         connection.discardedBytes += bytes;
+        connection.inputStatistics.discarded(bytes);
         if (connection.discardedBytes > MAX_DISCARDED_BYTES && !connection.discardPaused) {
             pauseDiscarding(connection);
         }
@@ -57,12 +67,12 @@
      */
     private void pauseDiscarding(InboundConnection connection) {
         connection.discardPaused = true;
-        enableReading(connection, false);
+        pauseReading(connection, ReadPause.DISCARDED_TOO_MUCH);
         loop.schedule(DISCARD_PAUSE_US, () -> {
             connection.discardPaused = false;
             connection.discardedBytes = 0;
             if (connection.transportConnection.isOpen()) {
-                enableReading(connection, true);
+                resumeReading(connection);
             }
         });
     }
@@ -77,10 +87,36 @@
         if (paused != connection.readingPaused) {
             connection.readingPaused = paused;
             invariants.count(paused ? "ingress held back" : "ingress read on");
-            enableReading(connection, !paused);
+            if (paused) {
+                pauseReading(connection, connection.throttled ? ReadPause.THROTTLED : ReadPause.WAITS_FOR_MEMORY);
+            } else {
+                resumeReading(connection);
+            }
         }
     }
 
+    /** Forgets the pause of a closed connection. */
+    void connectionClosed(InboundConnection connection) {
+        if (connection.inputStatistics.isPaused()) {
+            pausedConnections--;
+            connection.inputStatistics.resumed(loop.nowUs());
+        }
+    }
+
+    private void pauseReading(InboundConnection connection, ReadPause reason) {
+        invariants.count("ingress reading paused " + reason);
+        events.log(() -> "connection of " + connection.peerAddress() + " reading paused: " + reason);
+        pausedConnections += connection.inputStatistics.isPaused() ? 0 : 1;
+        connection.inputStatistics.paused(reason, loop.nowUs());
+        enableReading(connection, false);
+    }
+
+    private void resumeReading(InboundConnection connection) {
+        pausedConnections -= connection.inputStatistics.isPaused() ? 1 : 0;
+        connection.inputStatistics.resumed(loop.nowUs());
+        enableReading(connection, true);
+    }
+
     private static void enableReading(InboundConnection connection, boolean enabled) {
         try {
             if (enabled) {
--- /dev/null
+++ b/node/src/main/java/hookweir/net/server/ReadPause.java
@@ -0,0 +1,11 @@
+package hookweir.net.server;
+
+/** Why reading from a connection is paused. */
+enum ReadPause {
+    /** Too many bad requests in a row. */
+    THROTTLED,
+    /** A body waits for memory. */
+    WAITS_FOR_MEMORY,
+    /** Much input was discarded in a short time. */
+    DISCARDED_TOO_MUCH
+}
--- a/node/src/main/java/hookweir/net/server/RequestQueue.java
+++ b/node/src/main/java/hookweir/net/server/RequestQueue.java
@@ -1,5 +1,6 @@
 package hookweir.net.server;
 
+import hookweir.net.EventLog;
 import hookweir.net.HttpStatus;
 import hookweir.net.Invariants;
 import hookweir.net.Loop;
@@ -14,6 +15,7 @@
 
     private final Loop loop;
     private final Invariants invariants;
+    private final EventLog events;
     private final RequestHandler handler;
     private final RequestReservations reservations;
     private final ReadControl readControl;
@@ -29,11 +31,12 @@
      *
      * @param readBuffered parses a connection's buffered input once nothing blocks it any more
      */
-    RequestQueue(Loop loop, Invariants invariants, RequestHandler handler, RequestReservations reservations, ReadControl readControl,
+    RequestQueue(Loop loop, Invariants invariants, EventLog events, RequestHandler handler, RequestReservations reservations, ReadControl readControl,
             BodyAdmission admission, ConnectionTable connections, ConnectionSweeper sweeper, ConnectionCloser closer, ResponseWriter writer,
             Consumer<InboundConnection> readBuffered) {
         this.loop = loop;
         this.invariants = invariants;
+        this.events = events;
         this.handler = handler;
         this.reservations = reservations;
         this.readControl = readControl;
@@ -130,6 +133,8 @@
         } else if (!connection.pipelined.isEmpty()) {
             InboundRequest next = connection.pipelined.poll();
             reservations.removeWaiting(next);
+            events.log(() -> "request " + next.headers().id() + " of " + connection.peerAddress() + " begins behind earlier ones, "
+                + connection.pipelined.size() + " more wait");
             handle(connection, next);
             readBuffered.accept(connection);
         } else if (connection.unparsedInput != null && !connection.isClosing()) {
--- a/node/src/main/java/hookweir/net/server/RequestReader.java
+++ b/node/src/main/java/hookweir/net/server/RequestReader.java
@@ -1,5 +1,6 @@
 package hookweir.net.server;
 
+import hookweir.net.EventLog;
 import hookweir.net.HttpStatus;
 import hookweir.net.Invariants;
 import hookweir.net.Loop;
@@ -17,16 +18,18 @@
 
     private final Loop loop;
     private final Invariants invariants;
+    private final EventLog events;
     private final RequestReservations reservations;
     private final ReadControl readControl;
     private final BodyAdmission admission;
     private final ConnectionCloser closer;
     private final RequestQueue requestQueue;
 
-    RequestReader(Loop loop, Invariants invariants, RequestReservations reservations, ReadControl readControl, BodyAdmission admission,
+    RequestReader(Loop loop, Invariants invariants, EventLog events, RequestReservations reservations, ReadControl readControl, BodyAdmission admission,
             ConnectionCloser closer, RequestQueue requestQueue) {
         this.loop = loop;
         this.invariants = invariants;
+        this.events = events;
         this.reservations = reservations;
         this.readControl = readControl;
         this.admission = admission;
@@ -114,6 +117,8 @@
         int length = to - from;
         if (connection.budgetWaitSinceUs == 0 && (buffered + length > MAX_BUFFERED_BYTES || readControl.unparsedBytes() + length > MAX_TOTAL_BUFFERED_BYTES)) {
             invariants.count("ingress sent too much ahead");
+            events.log(() -> "connection of " + connection.peerAddress() + " sent too much ahead: " + (buffered + length) + " bytes behind "
+                + connection.pipelined.size() + " waiting requests, further input is discarded");
             readControl.discardInput(connection, buffered + length);
             readControl.setUnparsedInput(connection, null);
             closer.closeWithErrorAfterPending(connection, HttpStatus.TOO_MANY_REQUESTS);
