--- a/lab/src/main/java/hookweir/lab/Main.java
+++ b/lab/src/main/java/hookweir/lab/Main.java
@@ -32,6 +32,7 @@
             + "check-history: checks recorded histories against the rules; mutate-history: breaks a history in every place; "
             + "two-lives: stops a scheduler at every point and checks both runs; random-stops: does so repeatedly under load; "
             + "soak: stops a scheduler by series of signals up to an early kill; "
+            + "departures: lets clients leave a scheduler with unread input; "
             + "trace-inspect: summarizes a public trace; "
             + "scale: simulates workers and schedulers, and measures their message traffic")
     @SubCommands({
@@ -43,6 +44,7 @@
         @SubCommand(name = "two-lives", impl = hookweir.lab.lives.StopAndRestart.class),
         @SubCommand(name = "random-stops", impl = hookweir.lab.lives.RandomStops.class),
         @SubCommand(name = "soak", impl = hookweir.lab.lives.Soak.class),
+        @SubCommand(name = "departures", impl = hookweir.lab.lives.Departures.class),
         @SubCommand(name = "trace-inspect", impl = hookweir.lab.trace.TraceInspectCommand.class),
         @SubCommand(name = "scale", impl = hookweir.lab.scale.ScaleCommand.class)})
     private Command command;
--- /dev/null
+++ b/node/src/test/java/hookweir/net/DisconnectBehindInputTest.java
@@ -0,0 +1,81 @@
+package hookweir.net;
+
+import static hookweir.net.TestNode.job;
+import static hookweir.net.TestNode.post;
+import static hookweir.net.TestNode.receive;
+import static hookweir.net.TestNode.send;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.Socket;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * A client's disconnect was noticed late, and its job sent on meanwhile, because reading from its connection was paused. The clock stands
+ * still, so that no pause ends.
+ */
+@Timeout(20)
+final class DisconnectBehindInputTest {
+    private static final String INVALID_JOB = post("/api", "Req-Id: x\r\nReq-Kind: unknown\r\nReq-Deadline-Ms: 20000\r\n", "");
+    /** One more invalid request than a connection may send before it is throttled. */
+    private static final int INVALID_JOBS = 4;
+    private static final int UNPARSED_BYTES = 400_000;
+    private static final int BODY_BYTES = 60_000;
+    private static final String SMALL_BUDGET = "'sockets':128,'held_bytes':262144";
+    /** Bodies may take three fifths of the budget. */
+    private static final int FITTING_BODIES = 2;
+
+    private static String jobWithBody(String id) {
+        return post("/api", "Req-Id: " + id + "\r\nReq-Kind: render\r\nReq-Deadline-Ms: 20000\r\n", "b".repeat(BODY_BYTES));
+    }
+
+    private static void disconnectAndAwait(TestNode node, Socket client) throws IOException, InterruptedException {
+        client.close();
+        node.awaitCount("clients gone", 1);
+    }
+
+    @Test
+    void disconnectBehindMuchInputIsNoticed() throws Exception {
+        try (TestNode node = new TestNode("read_like"); Socket client = node.connect()) {
+            node.freezeClock();
+            send(client, job("m1"));
+            node.awaitCount("requests", 1);
+            send(client, "x".repeat(UNPARSED_BYTES));
+            disconnectAndAwait(node, client);
+        }
+    }
+
+    @Test
+    void disconnectOfThrottledClientIsNoticed() throws Exception {
+        try (TestNode node = new TestNode("read_like"); Socket client = node.connect()) {
+            node.freezeClock();
+            send(client, INVALID_JOB.repeat(INVALID_JOBS) + job("t1"));
+            for (int i = 0; i < INVALID_JOBS; i++) {
+                receive(client); // unread responses would turn the close into a reset
+            }
+            node.awaitCount("requests", 1);
+            disconnectAndAwait(node, client);
+        }
+    }
+
+    /** The client's second request has a body for which there is no memory; a client that waits for nothing else still waits for it. */
+    @Test
+    void disconnectBehindBodyThatWaitsForMemoryIsNoticed() throws Exception {
+        try (TestNode node = new TestNode("read_like", 20_000_000, SMALL_BUDGET); Socket client = node.connect(); Socket other = node.connect();
+                Socket waiting = node.connect()) {
+            node.freezeClock();
+            for (int i = 0; i < FITTING_BODIES; i++) {
+                send(other, jobWithBody("f" + i));
+            }
+            send(client, job("b1"));
+            node.awaitCount("requests", 2);
+            send(waiting, jobWithBody("b2"));
+            node.awaitCount("ingress waits for room", 1);
+            send(client, jobWithBody("b3"));
+            node.awaitIoRounds();
+            disconnectAndAwait(node, client);
+            assertEquals(0, node.node.invariants().counted("ingress closed EVICTED"));
+        }
+    }
+}
