Read from a throttled client while its request is unanswered

Callers would see: a job is sent on up to 0.1 s longer than it should after its client left, if the client had sent four invalid requests before it on the same connection.

Cause: ReadControl.updateReading paused reading while a connection was throttled, whether or not a request of it was with a worker; the client's end was noticed when the 100 ms were over.

Fix: the pause applies only while no request is unanswered. Requests behind it still wait until the throttle ends; input beyond 16 KB of them ends the connection with an error after its pending responses, as anywhere else.

DisconnectBehindInputTest.disconnectOfThrottledClientIsNoticed failed before (never noticed with the clock stopped) and passes; tests of failures, overload, closes and limits pass. Lines at fault: ReadControl.java, updateReading.

--- a/node/src/main/java/hookweir/net/server/HttpServer.java
+++ b/node/src/main/java/hookweir/net/server/HttpServer.java
@@ -92,6 +92,7 @@
     public void setClientDisconnectAction(InboundConnection connection, Runnable action) {
         connections.markClientConnection(connection);
         connection.onDisconnect = action;
+        readControl.updateReading(connection);
     }
 
     /** Marks a connection that carries callbacks. It stays useful while jobs are in progress. */
--- a/node/src/main/java/hookweir/net/server/ReadControl.java
+++ b/node/src/main/java/hookweir/net/server/ReadControl.java
@@ -87,7 +87,8 @@
      * requests.
      */
     void updateReading(InboundConnection connection) {
-        boolean paused = !connection.isClosing() && (connection.throttled || connection.budgetWaitSinceUs != 0);
+        boolean paused = !connection.isClosing()
+            && (connection.throttled && !connection.hasUnansweredRequest() || connection.budgetWaitSinceUs != 0);
         if (paused != connection.readingPaused) {
             connection.readingPaused = paused;
             invariants.count(paused ? "ingress held back" : "ingress read on");
--- a/node/src/main/java/hookweir/net/server/RequestQueue.java
+++ b/node/src/main/java/hookweir/net/server/RequestQueue.java
@@ -94,6 +94,7 @@
         } else if (request.http10()) {
             head.header("Connection", "keep-alive");
         }
+        readControl.updateReading(connection);
         writer.write(connection, head, body, () -> responseWritten(connection, isFinal));
     }
 
