Read on behind a body that waits for memory while an earlier request is unanswered

Callers would see, with memory short: a job is sent on for up to 0.7 s after its client left, if the client had begun a second request with a large body on the same connection.

Fix: the pause applies only while no request is unanswered. Otherwise the rest of the body is buffered within the limits of unparsed input (16 KB a connection, 1 MB in all); what exceeds them is discarded and the request that waits is rejected (429 after the pending responses), as it would be after 0.5 s. Usual clients send one request at a time and are not affected.

Lines at fault: ReadControl.java, updateReading.

--- a/node/src/main/java/hookweir/net/server/ReadControl.java
+++ b/node/src/main/java/hookweir/net/server/ReadControl.java
@@ -84,11 +84,11 @@
     /**
      * Pauses reading while a body waits for memory or the connection is throttled, so that further input stays in the
      * kernel. This protects memory from bodies that have no reservation, and the loop from clients that keep sending bad
-     * requests.
+     * requests. While a request is unanswered, reading goes on within the limits of unparsed input.
      */
     void updateReading(InboundConnection connection) {
-        boolean paused = !connection.isClosing()
-            && (connection.throttled && !connection.hasUnansweredRequest() || connection.budgetWaitSinceUs != 0);
+        boolean paused = !connection.isClosing() && !connection.hasUnansweredRequest()
+            && (connection.throttled || connection.budgetWaitSinceUs != 0);
         if (paused != connection.readingPaused) {
             connection.readingPaused = paused;
             invariants.count(paused ? "ingress held back" : "ingress read on");
--- a/node/src/main/java/hookweir/net/server/RequestReader.java
+++ b/node/src/main/java/hookweir/net/server/RequestReader.java
@@ -168,12 +168,20 @@
     /**
      * Buffers input behind waiting requests. It has to be read so that the client's end of input is detected: no request is
      * sent to a worker for a client that has disconnected. Input beyond the limit is discarded, and the connection ends with
-     * an error after its pending responses.
+     * an error after its pending responses. The rest of a body that waits for memory is limited only while an earlier request is
+     * unanswered: otherwise reading is paused, and little arrives.
      */
     private void buffer(InboundConnection connection, byte[] bytes, int from, int to) {
         int buffered = connection.unparsedInput == null ? 0 : connection.unparsedInput.length;
         int length = to - from;
-        if (connection.budgetWaitSinceUs == 0 && (buffered + length > MAX_BUFFERED_BYTES || readControl.unparsedBytes() + length > MAX_TOTAL_BUFFERED_BYTES)) {
+        boolean exceedsLimits = buffered + length > MAX_BUFFERED_BYTES || readControl.unparsedBytes() + length > MAX_TOTAL_BUFFERED_BYTES;
+        boolean waitsForMemory = connection.budgetWaitSinceUs != 0;
+        if (exceedsLimits && waitsForMemory && connection.hasUnansweredRequest()) {
+            readControl.discardInput(connection, buffered + length);
+            admission.reject(connection, connection.decoder.className());
+            return;
+        }
+        if (exceedsLimits && !waitsForMemory) {
             invariants.count("ingress sent too much ahead");
             events.log(() -> "connection of " + connection.peerAddress() + " sent too much ahead: " + (buffered + length) + " bytes behind "
                 + connection.pipelined.size() + " waiting requests, further input is discarded");
