A first attempt waits until its client's input was read to where it has arrived

Cause: Attempt.start sent the first attempt while the job was being read; the client's end was read only afterwards. Further attempts waited for one round of I/O, which read 4 KB of a connection.

Fix: every attempt first reads what has arrived from its client, to its end, 1 MB a round and 0.1 s at most; a client whose end was read counts as disconnected at once, even before the close is reported. Costs one read call for each job that has no further input.

Lines at fault: Attempt.java, start (number 0).

--- a/node/src/main/java/hookweir/net/Attempt.java
+++ b/node/src/main/java/hookweir/net/Attempt.java
@@ -17,6 +17,8 @@
     /** How long a response that is no longer needed is still read, so that the connection can be reused. */
     private static final long LATE_RESPONSE_TIMEOUT_US = 5_000_000;
 
+    /** How long an attempt waits for the end of its client's input; a client that is still sending after that has not disconnected. */
+    private static final long MAX_INPUT_WAIT_US = 100_000;
     /** An attempt that fails this close to the deadline is not followed by another one. */
     private static final long DEADLINE_MARGIN_US = 1_000;
     private static final int ACCEPTED = 202;
@@ -77,14 +79,23 @@
     void start(long timeoutUs) {
         timeoutTimer = host.loop().schedule(timeoutUs, () -> abandon(Outcome.TIMEOUT));
         if (number == 0) {
-            requestConnection();
+            host.loop().post(this::requestConnectionOnceInputIsRead);
         } else {
             // Unread data is processed before a further attempt: the client may have disconnected, or the worker may be draining.
-            host.loop().afterIoRound(() -> {
-                if (needsConnection()) {
-                    requestConnection();
-                }
-            });
+            host.loop().afterIoRound(this::requestConnectionOnceInputIsRead);
+        }
+    }
+
+    /** Requests a connection once all input of the client that has arrived was read: its end, behind the rest, would be a disconnect. */
+    private void requestConnectionOnceInputIsRead() {
+        boolean allRead = host.readArrivedInput(request);
+        if (!needsConnection()) {
+            return;
+        }
+        if (allRead || host.loop().nowUs() - startUs > MAX_INPUT_WAIT_US) {
+            requestConnection();
+        } else {
+            host.loop().afterIoRound(this::requestConnectionOnceInputIsRead);
         }
     }
 
@@ -102,7 +113,7 @@
             // Rule 3, no new work for a draining worker, applies to the first byte sent, and the worker may have started to drain
             // during the wait for a connection.
             finish(Outcome.CONNECT_FAILED);
-        } else if (stage == Stage.CONNECTING && request.closed) {
+        } else if (stage == Stage.CONNECTING && (request.closed || request.client.hasDisconnected())) {
             // The client disconnected meanwhile. Even where attempts can't be cancelled, none is started for it any more.
             finish(Outcome.MOOT);
         } else if (stage == Stage.CONNECTING && !host.mayStartAttempt()) {
--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -236,6 +236,11 @@
         return membership.mayStartAttempt();
     }
 
+    /** Reads what has arrived from the client of a request, within the limit of a round; returns whether all of it was read. */
+    boolean readArrivedInput(PendingRequest request) {
+        return server.readArrivedInput(request.client);
+    }
+
     /** Returns whether attempts can be cancelled. */
     boolean canCancelAttempts() {
         return active.settings().cancelAllowed;
--- a/node/src/main/java/hookweir/net/server/HttpServer.java
+++ b/node/src/main/java/hookweir/net/server/HttpServer.java
@@ -95,6 +95,15 @@
         readControl.updateReading(connection);
     }
 
+    /**
+     * Reads what has arrived on a client's connection, within the limit of a round. From a task of the loop, as requests may be handled.
+     *
+     * @return whether all of it was read
+     */
+    public boolean readArrivedInput(InboundConnection connection) {
+        return reader.readArrived(connection);
+    }
+
     /** Marks a connection that carries callbacks. It stays useful while jobs are in progress. */
     public void markCallbackConnection(InboundConnection connection) {
         connection.carriesCallbacks = true;
--- a/node/src/main/java/hookweir/net/server/InboundConnection.java
+++ b/node/src/main/java/hookweir/net/server/InboundConnection.java
@@ -104,6 +104,11 @@
         return String.valueOf(transportConnection.getPeerAddress());
     }
 
+    /** Whether the client is known to have closed the connection, even if that was not reported yet. */
+    public boolean hasDisconnected() {
+        return inputEnded || phase == Phase.CLOSED;
+    }
+
     /** What became of the client's input so far, for the log. */
     public String describeInput(long nowUs) {
         return inputStatistics.describe(nowUs, unparsedInput == null ? 0 : unparsedInput.length);
--- a/node/src/main/java/hookweir/net/server/RequestReader.java
+++ b/node/src/main/java/hookweir/net/server/RequestReader.java
@@ -56,6 +56,14 @@
         readArrived(connection, mustFindEnd);
     }
 
+    /** Reads what has arrived, if some of it may be unread, within the limit of a round; returns whether all of it was read. */
+    boolean readArrived(InboundConnection connection) {
+        if (connection.unreadInput) {
+            readArrived(connection, connection.hasUnansweredRequest());
+        }
+        return !connection.unreadInput || !connection.transportConnection.isOpen();
+    }
+
     /**
      * Reads what has arrived, within the limit of a round: as far as it can be parsed, or up to the client's end if a request that it sent
      * earlier is unanswered.
--- a/node/src/test/java/hookweir/net/DisconnectBehindInputTest.java
+++ b/node/src/test/java/hookweir/net/DisconnectBehindInputTest.java
@@ -5,15 +5,19 @@
 import static hookweir.net.TestNode.receive;
 import static hookweir.net.TestNode.send;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * A client's disconnect was noticed late, and its job sent on meanwhile, because reading from its connection was paused. The clock stands
- * still, so that no pause ends.
+ * A client's disconnect was noticed late, and its job sent on meanwhile, because reading from its connection was paused or its end was read
+ * only after its job had been sent. Where the clock stands still, no pause ends.
  */
 @Timeout(20)
 final class DisconnectBehindInputTest {
@@ -30,6 +34,36 @@
         return post("/api", "Req-Id: " + id + "\r\nReq-Kind: render\r\nReq-Deadline-Ms: 20000\r\n", "b".repeat(BODY_BYTES));
     }
 
+    /** The client's end stands right behind its job, or behind more jobs than are parsed at once; the scheduler reads both late. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 10, 1_000})
+    void jobIsNotSentIfItsClientLeftBeforeItWasRead(int furtherJobs) throws Exception {
+        try (TestNode node = TestNode.withPushedList(); Socket watch = node.acceptListCallAndWatch(); Socket client = node.connect()) {
+            send(client, job("h1"));
+            try (Socket idleConnection = node.workerListener.accept()) {
+                receive(idleConnection);
+                send(idleConnection, TestNode.ACCEPTED);
+                node.sendCallback("h1", "s-01", "done");
+                receive(client);
+                node.resumeClock(100_000); // past the reuse delay of the idle connection: a job could be sent at once
+                CountDownLatch gate = node.blockLoop();
+                Socket leaving = node.connect();
+                StringBuilder jobs = new StringBuilder();
+                for (int i = 0; i <= furtherJobs; i++) {
+                    jobs.append(job("f" + i));
+                }
+                send(leaving, jobs.toString());
+                leaving.close();
+                gate.countDown();
+                node.awaitCount("clients gone", 1);
+                node.awaitIoRounds();
+                assertEquals(1, node.node.invariants().counted("egress dials"));
+                assertEquals("", PausedLoop.receiveUntilClosed(idleConnection, node));
+            }
+            assertFalse(watch.isClosed());
+        }
+    }
+
     private static void disconnectAndAwait(TestNode node, Socket client) throws IOException, InterruptedException {
         client.close();
         node.awaitCount("clients gone", 1);
