--- a/lab/src/main/java/hookweir/lab/Main.java
+++ b/lab/src/main/java/hookweir/lab/Main.java
@@ -33,6 +33,7 @@
             + "two-lives: stops a scheduler at every point and checks both runs; random-stops: does so repeatedly under load; "
             + "soak: stops a scheduler by series of signals up to an early kill; "
             + "departures: lets clients leave a scheduler with unread input; "
+            + "misuse: measures usual clients while others send what they should not; "
             + "trace-inspect: summarizes a public trace; "
             + "scale: simulates workers and schedulers, and measures their message traffic")
     @SubCommands({
@@ -45,6 +46,7 @@
         @SubCommand(name = "random-stops", impl = hookweir.lab.lives.RandomStops.class),
         @SubCommand(name = "soak", impl = hookweir.lab.lives.Soak.class),
         @SubCommand(name = "departures", impl = hookweir.lab.lives.Departures.class),
+        @SubCommand(name = "misuse", impl = Misuses.class),
         @SubCommand(name = "trace-inspect", impl = hookweir.lab.trace.TraceInspectCommand.class),
         @SubCommand(name = "scale", impl = hookweir.lab.scale.ScaleCommand.class)})
     private Command command;
