Rejected requests no longer displace the ids of jobs that workers may have run

Callers would see: a job that must not run twice runs twice, if its id comes again after its client left and 4,096 other ids came in between. One client with ever new ids does that within a second or two, without any of its requests being sent to a worker.

Cause: RequestIds kept the last 4,096 accepted ids in one table, including those of requests that were rejected at once.

Evidence: RequestClaimsTest.rejectedIdsDoNotDisplaceThoseThatWorkersMayKnow: a job is accepted by a worker, its client leaves, 5,000 requests without time left are rejected; the id then got no 409 and was sent to the worker again (red before, green now).

Left: a flood during an upgrade can displace, in the successor, the ids of a process that has ended.

--- a/node/src/main/java/hookweir/net/Attempt.java
+++ b/node/src/main/java/hookweir/net/Attempt.java
@@ -142,6 +142,11 @@
         return stage != Stage.CONNECTING && stage != Stage.ENDED;
     }
 
+    /** Returns whether the worker may have run the job in this attempt, which has ended. */
+    boolean mayHaveRun() {
+        return lateCallbacks != LateCallbacks.NONE;
+    }
+
     /** Returns whether both attempts went to the same worker. */
     boolean isAtSameWorker(Attempt other) {
         return target != null && target.name.equals(other.target.name);
--- a/node/src/main/java/hookweir/net/PendingRequest.java
+++ b/node/src/main/java/hookweir/net/PendingRequest.java
@@ -40,6 +40,11 @@
         return httpRequest.headers().id();
     }
 
+    /** Returns whether a worker may have run the job in an attempt that has ended. */
+    boolean mayHaveRun() {
+        return attempts.stream().anyMatch(Attempt::mayHaveRun);
+    }
+
     /** Returns the attempt that has not ended yet, or null. */
     Attempt outstandingAttempt() {
         for (Attempt attempt : attempts) {
--- a/node/src/main/java/hookweir/net/PendingRequests.java
+++ b/node/src/main/java/hookweir/net/PendingRequests.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * The pending requests: each from its acceptance until it has its final response and no attempt is outstanding. Only this class
@@ -23,6 +24,7 @@
     private final HttpServer server;
     private final Map<Integer, PendingRequest> byNumber = new HashMap<>();
     private final Map<String, PendingRequest> byClientId = new HashMap<>();
+    private Consumer<PendingRequest> removalListener = request -> { };
 
     PendingRequests(Invariants invariants, Metrics metrics, ActiveSettings active, ResourceBudget budget, HttpServer server) {
         this.invariants = invariants;
@@ -47,6 +49,11 @@
         return Collections.unmodifiableSet(byClientId.keySet());
     }
 
+    /** Sets the listener that is notified of each request that is removed. */
+    void onRemoval(Consumer<PendingRequest> listener) {
+        removalListener = listener;
+    }
+
     /** Adds a request. */
     void add(PendingRequest request) {
         byNumber.put(request.job.id, request);
@@ -87,6 +94,7 @@
             }
             budget.releaseJob();
             server.releaseBody(request.httpRequest);
+            removalListener.accept(request);
         }
     }
 
--- a/node/src/main/java/hookweir/net/RequestClaims.java
+++ b/node/src/main/java/hookweir/net/RequestClaims.java
@@ -19,6 +19,13 @@
     RequestClaims(PendingRequests pending, PeerProcesses peers) {
         this.pending = pending;
         this.peers = peers;
+        pending.onRemoval(this::remember);
+    }
+
+    private void remember(PendingRequest removed) {
+        if (removed.mayHaveRun()) {
+            ids.addRun(removed.clientId());
+        }
     }
 
     /** Claims the id within this process; false if a pending or recent request of any process had it. */
--- a/node/src/test/java/hookweir/net/RequestClaimsTest.java
+++ b/node/src/test/java/hookweir/net/RequestClaimsTest.java
@@ -30,6 +30,8 @@
     private static final int SERVING = 1;
     private static final int HEADER_BYTES = 9;
     private static final long CLAIM_TIMEOUT_US = 250_000;
+    /** More than the ids that a process remembers of one kind. */
+    private static final int REJECTED_IDS = 5_000;
     private static final String CONFLICT = "HTTP/1.1 409";
 
     @TempDir
@@ -74,6 +76,10 @@
         return client;
     }
 
+    private static void disconnect(Socket client) throws IOException {
+        client.close();
+    }
+
     /** Sends a job and returns its response. */
     private static String responseTo(TestNode to, String id) throws IOException {
         try (Socket client = sendJob(to, id)) {
@@ -102,6 +108,23 @@
         }
     }
 
+    /** A job whose client had left ran twice when its id came again, if thousands of other ids had been rejected in between. */
+    @Test
+    void rejectedIdsDoNotDisplaceThoseThatWorkersMayKnow() throws Exception {
+        try (TestNode node = startProcess(); Socket client = sendJob(node, "e1"); Socket worker = node.workerListener.accept();
+                Socket flooding = node.connect()) {
+            receive(worker);
+            send(worker, ACCEPTED);
+            disconnect(client);
+            node.awaitCount("clients gone", 1);
+            for (int i = 0; i < REJECTED_IDS; i++) {
+                send(flooding, job("r" + i).replace("Deadline-Ms: 20000", "Deadline-Ms: 0"));
+                assertTrue(receive(flooding).startsWith("HTTP/1.1 429"));
+            }
+            assertTrue(responseTo(node, "e1").startsWith(CONFLICT));
+        }
+    }
+
     /** The ids that the old process had accepted were forgotten with its end, although workers may still run its jobs. */
     @Test
     void idsOfThePredecessorAreKnownAfterItsEnd() throws Exception {
