Reproduce attempts for clients that were accepted late, behind a crowd

A crowd of 300 connections that stop within a request takes all of 256 descriptors; twenty clients connect behind it, send a job and leave after 0.1 s.

--- a/lab/src/main/java/hookweir/lab/lives/DeparturePlan.java
+++ b/lab/src/main/java/hookweir/lab/lives/DeparturePlan.java
@@ -17,7 +17,7 @@
  * @param upgrade     whether a second process takes over while the clients are there
  * @param comesAgain  whether each client sends its first request once more after it has left
  * @param busy        number of processes that compete with the scheduler for its processor
- * @param crowd       number of idle connections
+ * @param crowd       number of connections that stop within a request; 300 take all descriptors, and clients wait to be accepted
  */
 record DeparturePlan(long seed, Moment moment, boolean reset, UnreadInput unread, int unreadBytes, String kind, int clients, int stayMs,
         int workerMs, boolean upgrade, boolean comesAgain, int busy, int crowd) {
@@ -33,7 +33,7 @@
     private static final int MIN_STAY_DIALLING_MS = 600;
     private static final int MIN_WORKER_MS = 20;
     private static final int WORKER_SPREAD_MS = 180;
-    private static final int CROWD = 60;
+    private static final int[] CROWDS = {60, 300};
     private static final double UPGRADE_PROBABILITY = 0.25;
     private static final double BUSY_PROBABILITY = 0.3;
     private static final double CROWD_PROBABILITY = 0.3;
@@ -60,6 +60,11 @@
         return new DeparturePlan(seed, moment, reset, unread, unreadBytes, "billing-post", clients, stayMs, workerMs, true, true, busy, crowd);
     }
 
+    /** As this plan, with clients that come behind a crowd. */
+    DeparturePlan behindCrowd() {
+        return new DeparturePlan(seed, moment, reset, unread, unreadBytes, kind, clients, stayMs, workerMs, upgrade, comesAgain, busy, CROWDS[1]);
+    }
+
     /** As this plan, with clients that stay longer. */
     DeparturePlan staying(int otherStayMs) {
         return new DeparturePlan(seed, moment, reset, unread, unreadBytes, kind, clients, otherStayMs, workerMs, upgrade, comesAgain, busy, crowd);
@@ -75,6 +80,6 @@
             Scenario.KINDS.get(random.nextInt(Scenario.KINDS.size())), MIN_CLIENTS + random.nextInt(CLIENTS_SPREAD),
             minStayMs + random.nextInt(STAY_SPREAD_MS), MIN_WORKER_MS + random.nextInt(WORKER_SPREAD_MS),
             random.nextDouble() < UPGRADE_PROBABILITY, random.nextBoolean(), random.nextDouble() < BUSY_PROBABILITY ? 1 + random.nextInt(2) : 0,
-            random.nextDouble() < CROWD_PROBABILITY ? CROWD : 0);
+            random.nextDouble() < CROWD_PROBABILITY ? CROWDS[random.nextInt(CROWDS.length)] : 0);
     }
 }
--- a/lab/src/main/java/hookweir/lab/lives/DepartureRun.java
+++ b/lab/src/main/java/hookweir/lab/lives/DepartureRun.java
@@ -21,10 +21,12 @@
     private static final long NS_PER_MS = 1_000_000;
     private static final int CLIENT_GAP_MS = 15;
     private static final int POLL_MS = 2;
-    /** How long the scheduler is watched after the last client has left. */
+    /** How long the scheduler is watched after the last client has left; where a crowd keeps it from accepting clients, longer. */
     private static final int SETTLE_MS = 1_300;
+    private static final int CROWD_SETTLE_MS = 6_500;
     private static final int JOIN_TIMEOUT_MS = 20_000;
     private static final int RETRY_DELAY_MS = 20;
+    private static final String UNFINISHED_REQUEST = "POST /api HTTP/1.1\r\nHost: h\r\n";
     private static final String DIAL_TIMEOUT_OF_SCENARIO = "\"dial_timeout_us\":1000000";
     /** Longer than the second after which the system tries again to open a connection. */
     private static final String LONG_DIAL_TIMEOUT = "\"dial_timeout_us\":2500000";
@@ -71,7 +73,8 @@
             Files.writeString(folder.resolve("config.json"), Scenario.config(Ports.allocate(), workers.listJson())
                 .replace(DIAL_TIMEOUT_OF_SCENARIO, LONG_DIAL_TIMEOUT));
             startScheduler(holder, port);
-            IdleConnections crowd = new IdleConnections(port, plan.crowd());
+            openWorkerConnections(port);
+            IdleConnections crowd = new IdleConnections(port, plan.crowd(), UNFINISHED_REQUEST);
             letClientsLeave(holder, port, workers);
             crowd.close();
             for (SchedulerProcess scheduler : schedulers) {
@@ -94,6 +97,13 @@
         return all.toString();
     }
 
+    /** Lets the scheduler open connections to workers, which are idle when the clients come: a job can be sent on them at once. */
+    private void openWorkerConnections(int port) {
+        if (plan.moment() == DeparturePlan.Moment.BETWEEN_ATTEMPTS) {
+            new LeavingClient(port, "warm-up", plan).comeAgain();
+        }
+    }
+
     private void startScheduler(ListeningSocketHolder holder, int port) throws IOException, InterruptedException {
         SchedulerProcess scheduler = SchedulerProcess.start(root, folder, holder, port, schedulers.size() + 1, false, EventSink.NONE);
         schedulers.add(scheduler);
@@ -135,7 +145,7 @@
                 Thread.sleep(RETRY_DELAY_MS);
             }
         }
-        Thread.sleep(SETTLE_MS);
+        Thread.sleep(plan.crowd() > 0 ? CROWD_SETTLE_MS : SETTLE_MS);
         clients.forEach(client -> check(client, workers.attempts()));
     }
 
--- a/lab/src/test/java/hookweir/lab/lives/DepartedClientsTest.java
+++ b/lab/src/test/java/hookweir/lab/lives/DepartedClientsTest.java
@@ -40,6 +40,14 @@
         assertEquals(List.of(), result.violations(), result.log());
     }
 
+    /** A request was sent on 3.4 s after its client had left, as a crowd of connections kept the scheduler from accepting it before. */
+    @Test
+    void requestThatWasAcceptedLateIsNotSentOn() throws Exception {
+        DeparturePlan plan = DeparturePlan.of(Moment.BETWEEN_ATTEMPTS, false, UnreadInput.NOTHING, 0).behindCrowd();
+        DepartureRun.Result result = DepartureRun.of(ROOT, plan);
+        assertEquals(List.of(), result.violations(), result.log());
+    }
+
     @ParameterizedTest
     @CsvSource({"AT_WORKER,20000", "AT_WORKER,1000000", "BETWEEN_ATTEMPTS,1000000"})
     void requestThatComesAgainAtTheOtherProcessDoesNotRunTwice(Moment moment, int unreadBytes) throws Exception {
