--- a/node/src/main/java/hookweir/net/server/RequestReader.java
+++ b/node/src/main/java/hookweir/net/server/RequestReader.java
@@ -48,12 +48,17 @@
         this.requestQueue = requestQueue;
     }
 
-    /** Reads the bytes [from, to), and what else has arrived on the connection. */
+    /**
+     * Reads the bytes [from, to), and what else has arrived if a request that was sent earlier is unanswered or the bytes fill a buffer.
+     * Otherwise more is read only before an attempt begins, or in the next round.
+     */
     void receive(InboundConnection connection, byte[] bytes, int from, int to) {
         boolean mustFindEnd = connection.hasUnansweredRequest();
         connection.unreadInput = true;
         read(connection, bytes, from, to);
-        readArrived(connection, mustFindEnd);
+        if (mustFindEnd || to - from >= Transport.BUFFER_BYTES) {
+            readArrived(connection, mustFindEnd);
+        }
     }
 
     /** Reads what has arrived, if some of it may be unread, within the limit of a round; returns whether all of it was read. */
