ReadControl: one place decides whether a connection is read, and why not

Two flags and two methods switched reading on and off beside each other; pauseReason() now says why nothing is read, and updateReading() applies and counts it. No behaviour changes: the reasons never overlapped. Tests of departures, failures, closes, overload, limits, admin and claims pass.

--- a/node/src/main/java/hookweir/net/server/HttpServer.java
+++ b/node/src/main/java/hookweir/net/server/HttpServer.java
@@ -164,7 +164,7 @@
             if (onDisconnect != null) {
                 onDisconnect.run();
             }
-            readControl.connectionClosed(connection);
+            readControl.updateReading(connection);
             requestQueue.discardPending(connection);
             readControl.setUnparsedInput(connection, null);
             readControl.discardInput(connection, 0);
--- a/node/src/main/java/hookweir/net/server/InboundConnection.java
+++ b/node/src/main/java/hookweir/net/server/InboundConnection.java
@@ -56,8 +56,8 @@
     int consecutiveBadRequests;
     /** Whether parsing is suspended for a while after too many bad requests. */
     boolean throttled;
-    /** Whether reading is paused because the connection is throttled or a body waits for memory. */
-    boolean readingPaused;
+    /** Why reading is paused, or null. */
+    ReadPause readPause;
     /**
      * The status of the error response that ends the connection after its pending responses, or 0. Further input is not
      * parsed.
@@ -83,7 +83,7 @@
     long unwrittenSinceUs;
     /** Bytes discarded since the last pause. */
     int discardedBytes;
-    /** Whether reading is paused because too much input was discarded. */
+    /** Whether so much input was discarded that reading should pause. */
     boolean discardPaused;
     /** Whether more input may have arrived than was read. */
     boolean unreadInput;
--- a/node/src/main/java/hookweir/net/server/InputStatistics.java
+++ b/node/src/main/java/hookweir/net/server/InputStatistics.java
@@ -23,8 +23,7 @@
         pausedSinceUs = isPaused() ? pausedSinceUs : nowUs;
     }
 
-    /** Whether reading is paused. */
-    boolean isPaused() {
+    private boolean isPaused() {
         return pausedSinceUs != 0;
     }
 
--- a/node/src/main/java/hookweir/net/server/ReadControl.java
+++ b/node/src/main/java/hookweir/net/server/ReadControl.java
@@ -71,13 +71,11 @@
      */
     private void pauseDiscarding(InboundConnection connection) {
         connection.discardPaused = true;
-        pauseReading(connection, ReadPause.DISCARDED_TOO_MUCH);
+        updateReading(connection);
         loop.schedule(connection.hasUnansweredRequest() ? DISCARD_PAUSE_UNANSWERED_US : DISCARD_PAUSE_US, () -> {
             connection.discardPaused = false;
             connection.discardedBytes = 0;
-            if (connection.transportConnection.isOpen()) {
-                resumeReading(connection);
-            }
+            updateReading(connection);
         });
     }
 
@@ -87,47 +85,55 @@
      * requests. While a request is unanswered, reading goes on within the limits of unparsed input.
      */
     void updateReading(InboundConnection connection) {
-        boolean paused = !connection.isClosing() && !connection.hasUnansweredRequest()
-            && (connection.throttled || connection.budgetWaitSinceUs != 0);
-        if (paused != connection.readingPaused) {
-            connection.readingPaused = paused;
-            invariants.count(paused ? "ingress held back" : "ingress read on");
-            if (paused) {
-                pauseReading(connection, connection.throttled ? ReadPause.THROTTLED : ReadPause.WAITS_FOR_MEMORY);
-            } else {
-                resumeReading(connection);
-            }
+        ReadPause pause = connection.transportConnection.isOpen() ? pauseReason(connection) : null;
+        ReadPause before = connection.readPause;
+        if (pause == before) {
+            return;
+        }
+        connection.readPause = pause;
+        if (pause != null) {
+            invariants.count("ingress reading paused " + pause);
+            events.log(() -> "connection of " + connection.peerAddress() + " reading paused: " + pause);
+            connection.inputStatistics.paused(pause, loop.nowUs());
+        } else {
+            connection.inputStatistics.resumed(loop.nowUs());
+        }
+        countWaits(before, pause);
+        if (before == null || pause == null) {
+            pausedConnections += pause == null ? -1 : 1;
+            enableReading(connection, pause == null);
         }
     }
 
-    /** Whether nothing is read from the connection at present. */
-    boolean isPaused(InboundConnection connection) {
-        return connection.inputStatistics.isPaused();
-    }
-
-    /** Forgets the pause of a closed connection. */
-    void connectionClosed(InboundConnection connection) {
-        if (connection.inputStatistics.isPaused()) {
-            pausedConnections--;
-            connection.inputStatistics.resumed(loop.nowUs());
+    /** Why nothing should be read from the connection at present; null if it should. */
+    private static ReadPause pauseReason(InboundConnection connection) {
+        boolean mayWait = !connection.isClosing() && !connection.hasUnansweredRequest();
+        if (mayWait && connection.throttled) {
+            return ReadPause.THROTTLED;
+        } else if (mayWait && connection.budgetWaitSinceUs != 0) {
+            return ReadPause.WAITS_FOR_MEMORY;
         }
+        return connection.discardPaused ? ReadPause.DISCARDED_TOO_MUCH : null;
     }
 
-    private void pauseReading(InboundConnection connection, ReadPause reason) {
-        invariants.count("ingress reading paused " + reason);
-        events.log(() -> "connection of " + connection.peerAddress() + " reading paused: " + reason);
-        pausedConnections += connection.inputStatistics.isPaused() ? 0 : 1;
-        connection.inputStatistics.paused(reason, loop.nowUs());
-        enableReading(connection, false);
+    /** Counts when input begins and ends to wait in the kernel until it can be used. */
+    private void countWaits(ReadPause before, ReadPause after) {
+        boolean waited = before != null && before.keepsInput();
+        boolean waits = after != null && after.keepsInput();
+        if (waits != waited) {
+            invariants.count(waits ? "ingress held back" : "ingress read on");
+        }
     }
 
-    private void resumeReading(InboundConnection connection) {
-        pausedConnections -= connection.inputStatistics.isPaused() ? 1 : 0;
-        connection.inputStatistics.resumed(loop.nowUs());
-        enableReading(connection, true);
+    /** Whether nothing is read from the connection at present. */
+    boolean isPaused(InboundConnection connection) {
+        return connection.readPause != null;
     }
 
     private static void enableReading(InboundConnection connection, boolean enabled) {
+        if (!connection.transportConnection.isOpen()) {
+            return;
+        }
         try {
             if (enabled) {
                 ((NIOConnection) connection.transportConnection).enableIOEvent(IOEvent.READ);
--- a/node/src/main/java/hookweir/net/server/ReadPause.java
+++ b/node/src/main/java/hookweir/net/server/ReadPause.java
@@ -7,5 +7,10 @@
     /** A body waits for memory. */
     WAITS_FOR_MEMORY,
     /** Much input was discarded in a short time. */
-    DISCARDED_TOO_MUCH
+    DISCARDED_TOO_MUCH;
+
+    /** Whether the input that waits in the kernel will be used. */
+    boolean keepsInput() {
+        return this != DISCARDED_TOO_MUCH;
+    }
 }
