A connection that is closed counts as a disconnected client before its close is reported

The transport closes a connection when it reads its end, and reports that by a task of the next turn. An attempt that is assigned a connection by an earlier task of the same turn asked whether the request was closed, and was told no.

--- a/node/src/main/java/hookweir/net/server/InboundConnection.java
+++ b/node/src/main/java/hookweir/net/server/InboundConnection.java
@@ -106,7 +106,7 @@
 
     /** Whether the client is known to have closed the connection, even if that was not reported yet. */
     public boolean hasDisconnected() {
-        return inputEnded || phase == Phase.CLOSED;
+        return inputEnded || !transportConnection.isOpen();
     }
 
     /** What became of the client's input so far, for the log. */
--- a/node/src/main/java/hookweir/net/server/RequestReader.java
+++ b/node/src/main/java/hookweir/net/server/RequestReader.java
@@ -66,7 +66,7 @@
         if (connection.unreadInput) {
             readArrived(connection, connection.hasUnansweredRequest());
         }
-        return !connection.unreadInput || !connection.transportConnection.isOpen();
+        return !connection.unreadInput || connection.hasDisconnected();
     }
 
     /**
--- a/node/src/test/java/hookweir/net/DisconnectBehindInputTest.java
+++ b/node/src/test/java/hookweir/net/DisconnectBehindInputTest.java
@@ -6,6 +6,7 @@
 import static hookweir.net.TestNode.send;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -77,6 +78,8 @@
             node.awaitCount("requests", 1);
             send(client, "x".repeat(UNPARSED_BYTES));
             disconnectAndAwait(node, client);
+            String metrics = node.adminCall("GET", "stats");
+            assertTrue(metrics.contains("svc_client_disconnects_total 1") && metrics.contains("svc_reading_paused 0"), metrics);
         }
     }
 
