--- a/lab/src/main/java/hookweir/lab/lives/Soak.java
+++ b/lab/src/main/java/hookweir/lab/lives/Soak.java
@@ -1,6 +1,5 @@
 package hookweir.lab.lives;
 
-import hookweir.lab.Main;
 import hookweir.lab.check.History;
 import hookweir.lab.check.RuleChecker;
 import hookweir.lab.load.LoadGenerator;
@@ -15,14 +14,13 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Stream;
-import org.kohsuke.args4j.Option;
 
 /**
  * Ends a scheduler under load once for each seed, by a plan derived from the seed: a series of signals, clients that use their open
  * connections until the earliest permitted SIGKILL, workers that hang meanwhile, many idle connections. The history of each seed is
  * checked by the rules.
  */
-public final class Soak extends Main.Command {
+public final class Soak extends SeededCommand {
     private static final int WORKERS = 5;
     private static final int SLOTS = 64;
     /** The earliest SIGKILL after SIGTERM: 3 s for the longest deadline that counts, and 0.7 s. */
@@ -30,40 +28,18 @@
     private static final long SETTLE_TIMEOUT_MS = 10_000;
     private static final long POLL_MS = 5;
 
-    @Option(name = "--root", usage = "the folder with deploy/balancer.toml")
-    private String root = ".";
-    @Option(name = "--first", usage = "the first seed")
-    private long firstSeed = 1;
-    @Option(name = "--seeds", usage = "number of seeds")
-    private int seeds = 50;
-    @Option(name = "--keep", metaVar = "FOLDER", usage = "where histories and logs of seeds that violated a rule are kept")
-    private String keepFolder = "target/soak";
-
-    /** For tests: the first seed, the number of seeds, and the folder for histories with violations. */
-    static Soak of(String root, String keep, long first, int seeds) {
-        Soak soak = new Soak();
-        soak.root = root;
-        soak.keepFolder = keep;
-        soak.firstSeed = first;
-        soak.seeds = seeds;
-        return soak;
+    /** Creates the command. */
+    public Soak() {
+        super("target/soak");
     }
 
     @Override
-    protected int run() throws IOException, InterruptedException {
-        int failedSeeds = 0;
-        for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
-            SoakPlan plan = SoakPlan.of(seed);
-            List<RuleChecker.Violation> violations = runSeed(plan);
-            System.out.println("seed " + seed + ": " + (violations.isEmpty() ? "kept" : violations.size() + " broken") + "; " + plan);
-            violations.stream().limit(5).forEach(b -> System.out.println("  " + b));
-            failedSeeds += violations.isEmpty() ? 0 : 1;
-        }
-        System.out.println(seeds + " seeds, " + failedSeeds + " violated a rule");
-        return failedSeeds == 0 ? 0 : 1;
+    protected SeedResult runSeed(long seed) throws IOException, InterruptedException {
+        SoakPlan plan = SoakPlan.of(seed);
+        return new SeedResult(plan.toString(), runPlan(plan).stream().map(RuleChecker.Violation::toString).toList());
     }
 
-    private List<RuleChecker.Violation> runSeed(SoakPlan plan) throws IOException, InterruptedException {
+    private List<RuleChecker.Violation> runPlan(SoakPlan plan) throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("hw-soak");
         Path history = folder.resolve("history.jsonl");
         List<RuleChecker.Violation> violations;
@@ -76,7 +52,7 @@
             violations = RuleChecker.check(History.read(history));
         }
         if (!violations.isEmpty()) {
-            Path kept = Files.createDirectories(Path.of(keepFolder, "seed-" + plan.seed()));
+            Path kept = Files.createDirectories(keepFolder().resolve("seed-" + plan.seed()));
             try (Stream<Path> files = Files.list(folder)) {
                 for (Path file : files.filter(Files::isRegularFile).toList()) {
                     Files.move(file, kept.resolve(file.getFileName()), java.nio.file.StandardCopyOption.REPLACE_EXISTING);
@@ -144,7 +120,7 @@
         }
 
         private SchedulerProcess start(int number) throws IOException, InterruptedException {
-            SchedulerProcess scheduler = SchedulerProcess.start(Path.of(root), folder, null, port, number, false, witness);
+            SchedulerProcess scheduler = SchedulerProcess.start(root(), folder, null, port, number, false, witness);
             scheduler.awaitReady();
             return scheduler;
         }
--- a/lab/src/test/java/hookweir/lab/lives/DepartedClientsTest.java
+++ b/lab/src/test/java/hookweir/lab/lives/DepartedClientsTest.java
@@ -58,6 +58,6 @@
     /** Runs of fifty seeds and more are started by hand: lab departures. */
     @Test
     void departuresOfTheFirstSeedsViolateNoRule() throws Exception {
-        assertEquals(0, Departures.of(ROOT.toString(), kept.toString(), FIRST_SEED, SEEDS).run());
+        assertEquals(0, new Departures().with(ROOT.toString(), kept.toString(), FIRST_SEED, SEEDS).run());
     }
 }
--- a/lab/src/test/java/hookweir/lab/lives/SoakTest.java
+++ b/lab/src/test/java/hookweir/lab/lives/SoakTest.java
@@ -19,6 +19,6 @@
 
     @Test
     void stopsUnderLoadViolateNoRule() throws Exception {
-        assertEquals(0, Soak.of("..", kept.toString(), FIRST_SEED, SEEDS).run());
+        assertEquals(0, new Soak().with("..", kept.toString(), FIRST_SEED, SEEDS).run());
     }
 }
--- a/lab/src/test/java/hookweir/lab/load/MisuseTest.java
+++ b/lab/src/test/java/hookweir/lab/load/MisuseTest.java
@@ -22,7 +22,8 @@
     @CsvSource({"LATE_JOBS,1", "NEW_NAMES,1", "GARBAGE,1", "CALLBACKS,1", "HALF_BODY,300", "SHORT_FIELDS,300", "TOO_MANY_FIELDS,300"})
     void usualClientsAreServedInTime(Misuse misuse, int clients) throws Exception {
         int processor = Runtime.getRuntime().availableProcessors() - 1;
-        LoadTestHarness.Config config = new LoadTestHarness.Config("..", processor, WORKERS, SERVICE_MS, 2, DEADLINE_MS / 2, DESCRIPTORS, "pull", "", false, null);
+        LoadTestHarness.Config config = new LoadTestHarness.Config("..", processor, WORKERS, SERVICE_MS, 2, DEADLINE_MS / 2, DESCRIPTORS, "pull",
+            "", false, null);
         try (LoadTestHarness harness = new LoadTestHarness(config)) {
             MisuseRun.Result result = MisuseRun.run(harness, misuse, clients, DEADLINE_MS, SECONDS);
             assertEquals(0, result.unanswered(), result::toString);
--- a/node/src/main/java/hookweir/net/JobAdmission.java
+++ b/node/src/main/java/hookweir/net/JobAdmission.java
@@ -26,8 +26,8 @@
     private final Contract.Dispatcher module;
     private int lastRequestId;
 
-    JobAdmission(Loop loop, Invariants invariants, EventLog events, Metrics metrics, ActiveSettings active, ResourceBudget budget, HttpServer server, PendingRequests pending,
-            RequestClaims claims, Contract.Dispatcher module) {
+    JobAdmission(Loop loop, Invariants invariants, EventLog events, Metrics metrics, ActiveSettings active, ResourceBudget budget, HttpServer server,
+            PendingRequests pending, RequestClaims claims, Contract.Dispatcher module) {
         this.loop = loop;
         this.invariants = invariants;
         this.events = events;
--- a/node/src/test/java/hookweir/net/DisconnectBehindInputTest.java
+++ b/node/src/test/java/hookweir/net/DisconnectBehindInputTest.java
@@ -40,12 +40,7 @@
     @ValueSource(ints = {0, 10, 1_000})
     void jobIsNotSentIfItsClientLeftBeforeItWasRead(int furtherJobs) throws Exception {
         try (TestNode node = TestNode.withPushedList(); Socket watch = node.acceptListCallAndWatch(); Socket client = node.connect()) {
-            send(client, job("h1"));
-            try (Socket idleConnection = node.workerListener.accept()) {
-                receive(idleConnection);
-                send(idleConnection, TestNode.ACCEPTED);
-                node.sendCallback("h1", "s-01", "done");
-                receive(client);
+            try (Socket idleConnection = node.serveJob(client, "h1")) {
                 node.resumeClock(100_000); // past the reuse delay of the idle connection: a job could be sent at once
                 CountDownLatch gate = node.blockLoop();
                 Socket leaving = node.connect();
--- a/node/src/test/java/hookweir/net/DisconnectedClientsTest.java
+++ b/node/src/test/java/hookweir/net/DisconnectedClientsTest.java
@@ -4,7 +4,6 @@
 import static hookweir.net.PausedLoop.receiveFromPending;
 import static hookweir.net.PausedLoop.secondWorkerEntry;
 import static hookweir.net.PausedLoop.workerEntries;
-import static hookweir.net.TestNode.ACCEPTED;
 import static hookweir.net.TestNode.job;
 import static hookweir.net.TestNode.receive;
 import static hookweir.net.TestNode.send;
@@ -82,12 +81,7 @@
         try (TestNode node = TestNode.withPushedList(); Socket watch = node.acceptListCallAndWatch(); Socket client = node.connect();
                 Socket leaving = node.connect()) {
             node.freezeClock();
-            send(client, job("s1"));
-            try (Socket idleConnection = node.workerListener.accept()) {
-                receive(idleConnection);
-                send(idleConnection, ACCEPTED);
-                node.sendCallback("s1", "s-01", "done");
-                receive(client);
+            try (Socket idleConnection = node.serveJob(client, "s1")) {
                 send(leaving, job("s2"));
                 node.awaitCount("requests", 2);
                 node.awaitIoRounds();
@@ -115,12 +109,7 @@
                 Socket watch = node.acceptListCallAndWatch(); Socket client = node.connect(); Socket leaving = node.connect()) {
             sendListLine(watch, "{'version':8,'full':true,'servers':[" + secondWorkerEntry(node, listener, "SERVING") + "]}");
             node.awaitCount("list updates", 2);
-            send(client, job("r1"));
-            try (Socket idleConnection = listener.accept()) {
-                receive(idleConnection);
-                send(idleConnection, ACCEPTED);
-                node.sendCallback("r1", "s-02", "done");
-                receive(client);
+            try (Socket idleConnection = node.serveJob(client, "r1", listener, "s-02")) {
                 node.resumeClock(100_000); // past the reuse delay of the idle connection: a job could be sent at once
                 sendListLine(watch, "{'version':9,'full':false,'servers':[" + secondWorkerEntry(node, listener, "DRAINING") + ","
                     + node.workerEntry("SERVING") + "]}");
@@ -168,12 +157,7 @@
     void jobWaitingForAWorkerIsNotSent() throws Exception {
         try (TestNode node = TestNode.withPushedList(); Socket watch = node.acceptListCallAndWatch(); Socket client = node.connect();
                 Socket leaving = node.connect()) {
-            send(client, job("h1"));
-            try (Socket idleConnection = node.workerListener.accept()) {
-                receive(idleConnection);
-                send(idleConnection, ACCEPTED);
-                node.sendCallback("h1", "s-01", "done");
-                receive(client);
+            try (Socket idleConnection = node.serveJob(client, "h1")) {
                 node.resumeClock(100_000); // past the reuse delay of the idle connection: a job could be sent at once
                 sendListLine(watch, "{'version':8,'full':false,'servers':[" + node.workerEntry("DRAINING") + "]}");
                 node.awaitCount("list updates", 2);
--- a/node/src/test/java/hookweir/net/TestNode.java
+++ b/node/src/test/java/hookweir/net/TestNode.java
@@ -212,6 +212,22 @@
         return socket;
     }
 
+    /** Serves a job of this client by the worker, and returns the connection to the worker, which is idle then. */
+    Socket serveJob(Socket client, String id) throws IOException {
+        return serveJob(client, id, workerListener, "s-01");
+    }
+
+    /** As above, by the worker of this name, which listens on this socket. */
+    Socket serveJob(Socket client, String id, ServerSocket listener, String workerId) throws IOException {
+        send(client, job(id));
+        Socket idleConnection = listener.accept();
+        receive(idleConnection);
+        send(idleConnection, ACCEPTED);
+        sendCallback(id, workerId, "done");
+        receive(client);
+        return idleConnection;
+    }
+
     /** Keeps the loop busy with one task after another until the latch is counted down; this is counted as "let go". */
     CountDownLatch keepLoopBusy() {
         CountDownLatch gate = new CountDownLatch(1);
