--- a/lab/src/main/java/hookweir/lab/load/Misuse.java
+++ b/lab/src/main/java/hookweir/lab/load/Misuse.java
@@ -14,6 +14,8 @@
     INVALID_JOBS,
     /** Bytes that are no request. */
     GARBAGE,
+    /** Jobs, each with much input behind it that is no request: it is read while the job is with a worker. */
+    INPUT_BEHIND_JOB,
     /** Empty lines. */
     EMPTY_LINES,
     /** Callbacks of unknown workers about unknown jobs. */
@@ -26,6 +28,7 @@
     TOO_MANY_FIELDS;
 
     private static final int BODY_BYTES = 65_000;
+    private static final int BEHIND_BYTES = 60_000;
     private static final int FIELDS = 60;
     private static final int EXCESSIVE_FIELDS = 3_000;
     private static final String HOST = "Host: h\r\n";
@@ -43,6 +46,7 @@
             case NEW_NAMES -> post("/api/" + id, "Req-Id: " + id + "\r\nReq-Kind: k" + id + "\r\nReq-Owner: o" + id + "\r\nX-" + id + ": 1\r\n", "");
             case INVALID_JOBS -> post("/api", "Req-Kind: job\r\n", "");
             case GARBAGE -> "\u0001" + id;
+            case INPUT_BEHIND_JOB -> post("/api", "Req-Id: " + id + "\r\nReq-Kind: job\r\nReq-Deadline-Ms: 5000\r\n", "") + "\u0001".repeat(BEHIND_BYTES);
             case EMPTY_LINES -> "\r\n\r\n\r\n\r\n";
             case CALLBACKS -> post("/callback", "", "{\"id\":\"" + id + "\",\"from\":\"s-" + id + "\",\"state\":\"done\",\"result\":\"r\"}");
             case HALF_BODY -> "POST /api HTTP/1.1\r\n" + HOST + "Req-Id: " + id + "\r\nReq-Kind: job\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n"
--- a/lab/src/test/java/hookweir/lab/load/MisuseTest.java
+++ b/lab/src/test/java/hookweir/lab/load/MisuseTest.java
@@ -19,7 +19,7 @@
     private static final double MAX_RESIDENT_MB = 48 + 64;
 
     @ParameterizedTest
-    @CsvSource({"LATE_JOBS,1", "NEW_NAMES,1", "GARBAGE,1", "CALLBACKS,1", "HALF_BODY,300", "SHORT_FIELDS,300", "TOO_MANY_FIELDS,300"})
+    @CsvSource({"LATE_JOBS,1", "NEW_NAMES,1", "GARBAGE,1", "CALLBACKS,1", "INPUT_BEHIND_JOB,1", "HALF_BODY,300", "SHORT_FIELDS,300", "TOO_MANY_FIELDS,300"})
     void usualClientsAreServedInTime(Misuse misuse, int clients) throws Exception {
         int processor = Runtime.getRuntime().availableProcessors() - 1;
         LoadTestHarness.Config config = new LoadTestHarness.Config("..", processor, WORKERS, SERVICE_MS, 2, DEADLINE_MS / 2, DESCRIPTORS, "pull",
