Tests of the connection pool wait for what the loop's own tasks post

Cause, by a trace on a scratch copy that forces the order (both cases then fail, the counter is missing): awaitLoop posted two tasks from the test's thread, and the loop runs tasks of other threads before its own. So the second could run, and the test post a further call, before the assignment that the release had posted; that call then evicted the idle connection which the first was to reserve. An order that the pool allows.

Change: awaitLoop lets a task on the loop post the one that it waits for, twice.

--- a/node/src/test/java/hookweir/net/ConnectionPoolFixture.java
+++ b/node/src/test/java/hookweir/net/ConnectionPoolFixture.java
@@ -66,11 +66,14 @@
         io.loop.post(() -> pool.releaseWithReuseDelay(pool.worker(1), connection, true));
     }
 
-    /** Waits until the loop has run all tasks that it has by now, and those that they posted. */
+    /**
+     * Waits until the loop has run all tasks that it has by now, and those that they posted. The last task is posted on the loop: the loop
+     * runs those of other threads first.
+     */
     void awaitLoop() throws InterruptedException {
         for (int i = 0; i < 2; i++) {
             CountDownLatch done = new CountDownLatch(1);
-            io.loop.post(done::countDown);
+            io.loop.post(() -> io.loop.post(done::countDown));
             done.await();
         }
     }
