--- a/review/standin-2/run-case.sh
+++ b/review/standin-2/run-case.sh
@@ -13,7 +13,4 @@
     echo "could not run: deploy/balancer.toml has no run command"
     exit 2
 fi
-java -Xmx128m -cp "$classes" "$1" "$root" "$folder/record.txt" "$command"
-status=$?
-[ "$status" -le 1 ] || status=2
-exit "$status"
+exec java -Xmx128m -cp "$classes" "$1" "$root" "$folder/record.txt" "$command"
