--- a/node/src/main/java/hookweir/net/Shutdown.java
+++ b/node/src/main/java/hookweir/net/Shutdown.java
@@ -64,7 +64,8 @@
         long startedUs = loop.nowUs();
         server.setDraining(true);
         module.shutdownStarted(startedUs, startedUs + RETRY_WINDOW_US);
-        Log.line("draining, held=" + pendingBefore + ", of them let go at once " + pending.respondedCount());
+        Log.line("draining, held=" + pendingBefore + ", of them let go at once " + pending.respondedCount() + ", the rest ends within "
+            + RETRY_WINDOW_US / 1000 + " ms");
         loop.schedule(MIN_DRAIN_US, () -> exitWhenIdle(startedUs));
     }
 
