Answer every request by the end of a graceful shutdown

Callers saw no answer to a job that must not run twice, or a keyed one of a zone or cell, if it was at a worker at SIGTERM and its client waits for longer than the shutdown takes: their connection ended with the process. The process itself stayed until SIGKILL.

Cause: Policy.shutdownStarted passed over jobs that may not be refused, so only their own deadline, after the end, would have ended them. Now every job has its last timer at the end of the shutdown: refused where a repeat does no harm, else failed. A second call with an earlier time, for a reload that shortens the deadlines, is followed.

--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -388,18 +388,18 @@
         host.send(job.request.id, worker.entry.id, 0);
     }
 
-    /** Rejects what can't end before the shutdown, as other schedulers can take it; the rest continues. */
+    /** Rejects what can't end before the shutdown, as other schedulers can take it; the rest continues until then. */
     @Override public void shutdownStarted(long now, long shutdownAtUs) {
         stopUs = shutdownAtUs;
         for (Job job : new ArrayList<>(jobs.values())) {
-            if (job.done || job.streaming || !mayReject(job)) continue;
-            boolean ends = endsBeforeStop(job, job.inFlight > 0 && job.startedUs > 0 ? job.startedUs : now);
-            if (!ends) finish(job, EndReason.LEAVING, now);
-            else host.startTimer(token(DEADLINE, job.request.id), shutdownAtUs - now);
+            if (job.done || job.streaming) continue;
+            if (mayReject(job) && !endsBeforeStop(job, now)) finish(job, EndReason.LEAVING, now);
+            else host.startTimer(token(DEADLINE, job.request.id), Math.max(0, shutdownAtUs - now));
         }
     }
 
-    private boolean endsBeforeStop(Job job, long startUs) {
+    private boolean endsBeforeStop(Job job, long now) {
+        long startUs = job.inFlight > 0 && job.startedUs > 0 ? job.startedUs : now;
         return stopUs == 0 || startUs + (long) (job.request.costHintUs * MIN_RUN_TIME) < stopUs;
     }
 
