Derive the end of a graceful shutdown from the longest deadline in force

Cause: Shutdown.RETRY_WINDOW_US was 3.5 s whatever the settings say; the policy's guard of late requests and its estimate count on that time. Now ShutdownWindow derives it: longest deadline of the configured classes, 3 s at most, 0.7 s more, 0.2 s less for the last responses. Classes that a reload removed keep their number but don't count. A reload during a shutdown can only shorten it. The earliest exit, 0.9 s after the signal, is sooner where the window is.

Lines at fault: Shutdown.java:13, drain().

--- a/core/src/main/java/hookweir/Contract.java
+++ b/core/src/main/java/hookweir/Contract.java
@@ -125,6 +125,8 @@
     public static final class Settings {
         /** Request classes, by number. */
         public final List<RequestClass> classes = new ArrayList<>();
+        /** The longest deadline of the classes that are configured. Classes that a reload has removed don't count. */
+        public long longestDeadlineUs;
         /** For each tenant, the number of requests per second over all schedulers that are within its share. */
         public double[] tenantRatePerS = new double[0];
         /** The index of this scheduler among {@link #schedulerCount}. */
@@ -296,7 +298,10 @@
         /** A probe ended; the report may be null. */
         void probeEnded(long nowUs, int workerId, Outcome outcome, long elapsedUs, Report report);
 
-        /** The process is shutting down: requests still open at shutdownAtUs get no response; other schedulers can accept new ones. */
+        /**
+         * The process is shutting down: every request needs its response by shutdownAtUs; other schedulers can accept new ones. Called again
+         * if that time moves, which it only does to an earlier one.
+         */
         default void shutdownStarted(long nowUs, long shutdownAtUs) {
         }
 
--- a/node/src/main/java/hookweir/config/SettingsMapping.java
+++ b/node/src/main/java/hookweir/config/SettingsMapping.java
@@ -56,6 +56,7 @@
         int n = readCount("classes.count");
         for (int i = 0; i < n; i++) {
             s.classes.add(readClass("classes." + i + ".", i));
+            s.longestDeadlineUs = Math.max(s.longestDeadlineUs, s.classes.get(i).deadlineUs);
             classNames.add(readText("classes." + i + ".name", ""));
             classNumbers.put(classNames.get(i), i);
         }
@@ -113,7 +114,8 @@
 
     /**
      * Renumbers the classes for a running scheduler that reloads its settings. Jobs in progress keep the number that they were accepted
-     * with, so a class that changed gets a new number, and the number of a removed class is not reused for another one.
+     * with, so a class that changed gets a new number, and the number of a removed class is not reused for another one. The longest deadline
+     * remains that of the classes in the configuration.
      */
     void keepClassNumbersOf(SettingsMapping running) throws InvalidSettingException {
         if (!Arrays.equals(zoneNames, running.zoneNames) || !Arrays.equals(kindNames, running.kindNames)) {
--- a/node/src/main/java/hookweir/net/Shutdown.java
+++ b/node/src/main/java/hookweir/net/Shutdown.java
@@ -3,30 +3,37 @@
 import hookweir.Contract;
 import hookweir.net.admin.ServingState;
 import hookweir.net.server.HttpServer;
+import hookweir.shutdown.ShutdownWindow;
 
 /**
  * Closes clients' connections between requests while an operator, a successor process or a shutdown requires it, and stops the
  * loop during a shutdown once no request is pending. Belongs to the {@link Loop}.
  */
 final class Shutdown {
-    /** SIGKILL follows SIGTERM after 3.7 s at the earliest; jobs that can still be run elsewhere are released before that. */
-    private static final long RETRY_WINDOW_US = 3_500_000;
+    /** The earliest exit after the signal, if there is that much time: clients still connect for 0.4 s. */
     private static final long MIN_DRAIN_US = 900_000;
     private static final long EXIT_POLL_US = 50_000;
+    private static final long US_PER_MS = 1_000;
 
     private final Loop loop;
     private final Invariants invariants;
+    private final ActiveSettings active;
     private final ServingState standing;
     private final HttpServer server;
     private final PendingRequests pending;
     private final Contract.Dispatcher module;
     private boolean draining;
+    private long startedUs;
+    /** When every request needs its response; it only moves to earlier times. */
+    private long respondByUs;
     /** A successor process has taken over the clients. */
     private boolean successorServing;
 
-    Shutdown(Loop loop, Invariants invariants, ServingState standing, HttpServer server, PendingRequests pending, Contract.Dispatcher module) {
+    Shutdown(Loop loop, Invariants invariants, ActiveSettings active, ServingState standing, HttpServer server, PendingRequests pending,
+            Contract.Dispatcher module) {
         this.loop = loop;
         this.invariants = invariants;
+        this.active = active;
         this.standing = standing;
         this.server = server;
         this.pending = pending;
@@ -61,22 +68,42 @@
         draining = true;
         standing.startShutdown();
         int pendingBefore = pending.size();
-        long startedUs = loop.nowUs();
+        startedUs = loop.nowUs();
         server.setDraining(true);
-        module.shutdownStarted(startedUs, startedUs + RETRY_WINDOW_US);
+        setRespondBy(startedUs + responseWindowUs());
         Log.line("draining, held=" + pendingBefore + ", of them let go at once " + pending.respondedCount() + ", the rest ends within "
-            + RETRY_WINDOW_US / 1000 + " ms");
-        loop.schedule(MIN_DRAIN_US, () -> exitWhenIdle(startedUs));
+            + responseWindowUs() / US_PER_MS + " ms");
+        loop.schedule(Math.min(MIN_DRAIN_US, responseWindowUs()), this::exitWhenIdle);
     }
 
-    private void exitWhenIdle(long startedUs) {
+    /**
+     * Called after a reload. If it shortens the longest deadline during a shutdown, less time is left. If it extends the deadline, the time
+     * stays as it was: the platform may have scheduled the end of this process by the earlier settings.
+     */
+    void settingsChanged() {
+        if (draining && startedUs + responseWindowUs() < respondByUs) {
+            setRespondBy(startedUs + responseWindowUs());
+            Log.line("draining, what is left ends within " + responseWindowUs() / US_PER_MS + " ms after the signal");
+        }
+    }
+
+    private long responseWindowUs() {
+        return ShutdownWindow.responseWindowUs(active.settings().longestDeadlineUs);
+    }
+
+    private void setRespondBy(long us) {
+        respondByUs = us;
+        module.shutdownStarted(loop.nowUs(), us);
+    }
+
+    private void exitWhenIdle() {
         if (pending.isEmpty() && server.isDrained()) {
             // Clients that connect from now on wait in the backlog of an inherited socket for the successor process.
             server.setAccepting(false);
-            Log.line("idle " + (loop.nowUs() - startedUs) / 1000 + " ms after the signal, leaving; " + invariants);
+            Log.line("idle " + (loop.nowUs() - startedUs) / US_PER_MS + " ms after the signal, leaving; " + invariants);
             loop.stop();
         } else {
-            loop.schedule(EXIT_POLL_US, () -> exitWhenIdle(startedUs));
+            loop.schedule(EXIT_POLL_US, this::exitWhenIdle);
         }
     }
 }
--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -76,7 +76,7 @@
         callbacks = new CallbackReceiver(loop, invariants, active, server, pending, module, succession);
         JobAdmission admission = new JobAdmission(loop, invariants, events, metrics, active, budget, server, pending, claims, module);
         router = new RequestRouter(invariants, standing, metrics, active, server, callbacks, admission);
-        shutdown = new Shutdown(loop, invariants, standing, server, pending, module);
+        shutdown = new Shutdown(loop, invariants, active, standing, server, pending, module);
         reporter = new StatusReporter(loop, invariants, metrics, budget, server, workerConnections, pending, module, membership);
         resources.update();
     }
@@ -187,6 +187,7 @@
         workerConnections.setLimits(next.settings().connectTimeoutUs, next.settings().connectionIdleTimeoutUs);
         membership.applySettings(next.settings());
         module.settingsChanged(loop.nowUs(), active.settings());
+        shutdown.settingsChanged();
         membership.moveTo(next.listServiceAddress());
         invariants.count("reloads");
         metrics.configurationReloaded(true);
--- /dev/null
+++ b/node/src/test/java/hookweir/net/ShortDeadlineShutdownTest.java
@@ -0,0 +1,126 @@
+package hookweir.net;
+
+import static hookweir.net.TestNode.ACCEPTED;
+import static hookweir.net.TestNode.job;
+import static hookweir.net.TestNode.receive;
+import static hookweir.net.TestNode.send;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * A graceful shutdown ends before the earliest SIGKILL, which follows SIGTERM by the longest deadline in force, 3 s at most, and 0.7 s. The
+ * scheduler's clock stands still but for the steps of the test.
+ */
+@Timeout(60)
+final class ShortDeadlineShutdownTest {
+    private static final long US_PER_MS = 1_000;
+    private static final long MAX_COUNTED_DEADLINE_MS = 3_000;
+    private static final long KILL_DELAY_MS = 700;
+    /** A request that is whole before this may be unanswered at SIGKILL, but not where the process ends by itself. */
+    private static final long ARRIVAL_MS = 300;
+
+    @TempDir
+    Path folder;
+
+    private static long earliestKillMs(long longestDeadlineMs) {
+        return Math.min(longestDeadlineMs, MAX_COUNTED_DEADLINE_MS) + KILL_DELAY_MS;
+    }
+
+    private static TestNode start(String semantics, long deadlineMs) throws IOException {
+        return TestNode.withFrozenClock(semantics, deadlineMs * US_PER_MS);
+    }
+
+    private static void drain(TestNode node) throws InterruptedException {
+        node.node.drain();
+        node.awaitIoRounds();
+    }
+
+    private static void advanceMs(TestNode node, long ms) throws InterruptedException {
+        node.advanceInSteps(ms * US_PER_MS);
+    }
+
+    /** Sends a job that a worker accepts and never ends. */
+    private static Socket sendHungJob(TestNode node, Socket client, String id, long deadlineMs) throws IOException, InterruptedException {
+        send(client, job(id, deadlineMs));
+        Socket worker = node.workerListener.accept();
+        receive(worker);
+        send(worker, ACCEPTED);
+        node.awaitIoRounds();
+        return worker;
+    }
+
+    /** Asserts that a response has arrived by now, and returns it. */
+    private static String arrivedResponse(Socket client) throws IOException {
+        assertTrue(client.getInputStream().available() > 0, "a response before the earliest SIGKILL");
+        return receive(client);
+    }
+
+    private void reload(TestNode node, long fromDeadlineMs, long toDeadlineMs) throws IOException, InterruptedException {
+        Path file = folder.resolve("config.json");
+        String config = node.config("127.0.0.1:" + node.listService.getLocalPort());
+        Files.writeString(file, config.replace("\"deadline_us\":" + fromDeadlineMs * US_PER_MS, "\"deadline_us\":" + toDeadlineMs * US_PER_MS));
+        node.node.reload(Map.of("RELAY_CONFIG", file.toString()));
+        node.awaitIoRounds();
+        assertEquals(0, node.node.invariants().counted("reloads refused"));
+    }
+
+    /** Requests were unanswered at the earliest SIGKILL where the longest deadline is short: the process gave itself 3.5 s in any case. */
+    @ParameterizedTest
+    @CsvSource({"50, read_like, 429", "300, read_like, 429", "300, non_idempotent, 500", "600, idempotency_key, 429", "1500, read_like, 429",
+        "1500, non_idempotent, 500", "3000, read_like, 429", "3000, non_idempotent, 500", "6000, idempotency_key, 429", "6000, non_idempotent, 500"})
+    void requestAtAHungWorkerIsAnsweredBeforeTheEarliestSigkill(long deadlineMs, String semantics, int status) throws Exception {
+        try (TestNode node = start(semantics, deadlineMs); Socket client = node.connect()) {
+            drain(node);
+            advanceMs(node, ARRIVAL_MS);
+            // A client may wait for longer than its class: that moves no SIGKILL.
+            Socket worker = sendHungJob(node, client, "a1", 2 * deadlineMs + KILL_DELAY_MS);
+            assertEquals(0, client.getInputStream().available());
+            advanceMs(node, earliestKillMs(deadlineMs) - ARRIVAL_MS);
+            assertTrue(arrivedResponse(client).startsWith("HTTP/1.1 " + status));
+            worker.close();
+        }
+    }
+
+    /** A reload before the shutdown moves its end, also where the class with the longer deadline is still known by its number. */
+    @ParameterizedTest
+    @CsvSource({"3000, 500", "500, 3000"})
+    void reloadBeforeTheShutdownMovesItsEnd(long before, long after) throws Exception {
+        try (TestNode node = start("read_like", before); Socket client = node.connect()) {
+            reload(node, before, after);
+            drain(node);
+            Socket worker = sendHungJob(node, client, "b1", 10_000);
+            advanceMs(node, earliestKillMs(after) - 300);
+            assertEquals(0, client.getInputStream().available(), "the job still runs");
+            advanceMs(node, 300);
+            assertTrue(arrivedResponse(client).startsWith("HTTP/1.1 429"));
+            worker.close();
+        }
+    }
+
+    /** A reload during the shutdown leaves less time at most: the platform may have set the SIGKILL by the earlier settings. */
+    @ParameterizedTest
+    @CsvSource({"3000, 800, 1500", "3000, 100, 800", "800, 3000, 1500"})
+    void reloadDuringTheShutdownShortensItAtMost(long before, long after, long expectedKillMs) throws Exception {
+        try (TestNode node = start("non_idempotent", before); Socket client = node.connect()) {
+            drain(node);
+            Socket worker = sendHungJob(node, client, "c1", 10_000);
+            advanceMs(node, 300);
+            reload(node, before, after);
+            advanceMs(node, expectedKillMs - 600);
+            assertEquals(0, client.getInputStream().available(), "the job still runs");
+            advanceMs(node, 300);
+            assertTrue(arrivedResponse(client).startsWith("HTTP/1.1 500"));
+            worker.close();
+        }
+    }
+}
--- a/node/src/test/java/hookweir/net/TestNode.java
+++ b/node/src/test/java/hookweir/net/TestNode.java
@@ -36,6 +36,7 @@
     volatile LongSupplier clockOffsetNs = () -> 0;
     private static final long FIRST_TIMER_US = 2_000;
     private static final long HEARTBEAT_INTERVAL_MS = 1_000;
+    private static final long CLOCK_STEP_US = 20_000;
     private long frozenAtNs;
     private final String semantics;
     private final long deadlineUs;
@@ -91,7 +92,12 @@
 
     /** The scheduler's clock is frozen from its start. */
     static TestNode withFrozenClock(String semantics) throws IOException {
-        return new TestNode(semantics, 20_000_000, false, null, "'sockets':128", "ask", true, true, true, null);
+        return withFrozenClock(semantics, 20_000_000);
+    }
+
+    /** As above, with the deadline of the request class. */
+    static TestNode withFrozenClock(String semantics, long deadlineUs) throws IOException {
+        return new TestNode(semantics, deadlineUs, false, null, "'sockets':128", "ask", true, true, true, null);
     }
 
     /** Attempts cannot be cancelled. */
@@ -259,6 +265,14 @@
         clockOffsetNs = () -> ns - System.nanoTime();
     }
 
+    /** Advances the frozen clock by this time in steps, and handles what is due after each of them. */
+    void advanceInSteps(long us) throws InterruptedException {
+        for (long left = us; left > 0; left -= CLOCK_STEP_US) {
+            advanceFrozenClock(Math.min(left, CLOCK_STEP_US));
+            awaitIoRounds();
+        }
+    }
+
     /** Lets the clock run again, as if this time had passed. */
     void resumeClock(long us) {
         long offsetNs = clockOffsetNs.getAsLong() + us * 1000;
@@ -345,7 +359,11 @@
     }
 
     static String job(String id) {
-        return post("/api", "Req-Id: " + id + "\r\nReq-Kind: render\r\nReq-Deadline-Ms: 20000\r\n", "work");
+        return job(id, 20_000);
+    }
+
+    static String job(String id, long deadlineMs) {
+        return post("/api", "Req-Id: " + id + "\r\nReq-Kind: render\r\nReq-Deadline-Ms: " + deadlineMs + "\r\n", "work");
     }
 
     String sendCallback(String id, String workerId, String state) throws IOException {
