In a shutdown, refuse at once a job without a hint that can't end in time

Cause: Policy.endsBeforeStop counted the cost hint alone, and 0 stands for no hint, so such a job was sent until the last moment. Now the mean time of its class from send to result is used (ClassServiceTimes, one number a class), before the first result of a class that of all classes for jobs that can't be refused once sent, else nothing. These jobs need their whole estimate; others with a hint may still run on a fast worker.

Tests: PolicyShutdownTest, 5 of 24 red on (jobOfAClassWithoutResultsSoFar, jobWithHint..., jobWithoutHint...), and ShortDeadlineShutdownTest .requestThatCanNotEndInTimeIsRefusedAtOnce; green now.

--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -69,7 +69,7 @@
     private static final class Job {
         int attempts, inFlight, probesPending, probeRounds;
         double slots;
-        long dueUs, firstTryStartUs, firstRunUs, startedUs;
+        long dueUs, firstTryStartUs, firstRunUs, sentUs, startedUs;
         boolean done, streaming, mayHaveRun, waiting;
         Contract.Request request;
         Contract.RequestClass type;
@@ -93,6 +93,7 @@
     private double[] weights = new double[64], slotsByKind = {}, extraRunByKind = {};
     private double meanHintUs, serviceUs = 1e6, reportAgeUs, probeUs, arrivals;
     private double coldFit = 0.67, meanRun = 1, meanFill = 0.5, meanErrors, meanMs = Double.NaN;
+    private final ClassServiceTimes serviceTimes = new ClassServiceTimes();
     private final SplitMix random;
     private long arrivalsUs, stopUs, rejectedUs = Long.MIN_VALUE / 2, leaseUntilUs = Long.MAX_VALUE;
     private boolean started, listHeld, watching, anyCold;
@@ -114,6 +115,7 @@
             pacer = new ListCallPacer(next.schedulerCount, next.pollList, next.maxPollIntervalUs);
         }
         settings = next;
+        serviceTimes.setClassCount(next.classes.size());
         probesOn = next.probesAllowed && next.loadReportSource != Contract.LoadReportSource.NONE;
         probesPerJob = Math.max(1, Math.min(MAX_PROBES, PROBE_BUDGET / Math.max(settings.probePrice, 1e-9)));
     }
@@ -364,7 +366,11 @@
 
     /** Rejecting a request tells the client that a retry is harmless. */
     private boolean mayReject(Job job) {
-        return job.firstRun == null || job.type.idempotency == Idempotency.IDEMPOTENT
+        return job.firstRun == null || mayRejectOnceSent(job);
+    }
+
+    private static boolean mayRejectOnceSent(Job job) {
+        return job.type.idempotency == Idempotency.IDEMPOTENT
             || job.type.idempotency == Idempotency.KEYED && job.type.dedupScope == Contract.DedupScope.ALL;
     }
 
@@ -379,6 +385,7 @@
     /** The only place that sends; until an outcome proves otherwise, the attempt may have run. */
     private void send(Job job, TrackedWorker worker, long now) {
         job.lastWorker = worker;
+        job.sentUs = now;
         job.attempts++;
         job.startedUs = 0;
         job.inFlight++;
@@ -398,9 +405,21 @@
         }
     }
 
+    /** True unless the shutdown comes before the job, sent now if it is not at a worker, is expected to end. */
     private boolean endsBeforeStop(Job job, long now) {
-        long startUs = job.inFlight > 0 && job.startedUs > 0 ? job.startedUs : now;
-        return stopUs == 0 || startUs + (long) (job.request.costHintUs * MIN_RUN_TIME) < stopUs;
+        return stopUs == 0 || now < stopUs && expectedEndUs(job, now) < stopUs;
+    }
+
+    /**
+     * By the cost hint, counted from the job's start, or by what the jobs of its class took from send to result. A job that can't be refused
+     * any more once it was sent gets no benefit of the doubt.
+     */
+    private double expectedEndUs(Job job, long now) {
+        boolean sent = job.inFlight > 0, refusable = mayRejectOnceSent(job);
+        if (job.request.costHintUs == 0)
+            return (sent ? job.sentUs : now) + serviceTimes.meanUs(job.request.requestClass, refusable ? 0 : serviceUs);
+        double runTime = refusable ? MIN_RUN_TIME : Math.max(MIN_RUN_TIME, meanRun);
+        return (sent && job.startedUs > 0 ? job.startedUs : now) + job.request.costHintUs * runTime;
     }
 
     @Override public void progressReported(long now, int requestId, int attempt, int workerId, double share) {
@@ -448,6 +467,7 @@
         job.ended[attempt] = true;
         if (outcome == Outcome.OK) {
             serviceUs = mean(serviceUs, elapsedUs);
+            serviceTimes.record(job.request.requestClass, elapsedUs);
             double runUs = job.startedUs > 0 ? now - job.startedUs : elapsedUs;
             double ratio = runUs / (job.request.costHintUs > 0 ? job.request.costHintUs : serviceUs);
             if (worker != null && warmFraction(worker, now) == 1) {
--- a/core/src/test/java/hookweir/PolicyShutdownTest.java
+++ b/core/src/test/java/hookweir/PolicyShutdownTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import hookweir.Contract.Idempotency;
+import hookweir.Contract.Outcome;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -34,6 +35,12 @@
         host.policy.requestAccepted(host.now, request);
     }
 
+    private void serve(int id, long serviceUs) {
+        accept(id, 0);
+        host.advance(serviceUs);
+        host.policy.attemptEnded(host.now, id, 0, WORKER, Outcome.OK, serviceUs, true, null);
+    }
+
     private int responses(int id) {
         return host.countActions("reject " + id) + host.countActions("fail " + id);
     }
@@ -52,6 +59,44 @@
         assertEquals(idempotency == Idempotency.NON_IDEMPOTENT ? 1 : 0, host.countActions("fail 1"), "refused only where a repeat does no harm");
     }
 
+    /** Without a cost hint, a job was sent to a worker that could not end it before SIGKILL. */
+    @ParameterizedTest
+    @CsvSource({"IDEMPOTENT, 600000, 1300000, 1", "IDEMPOTENT, 800000, 1300000, 0", "NON_IDEMPOTENT, 600000, 1300000, 1",
+        "NON_IDEMPOTENT, 800000, 1300000, 0", "KEYED, 600000, 1300000, 1", "KEYED, 1900000, 200000, 0", "KEYED, 1700000, 200000, 1"})
+    void jobWithoutHintIsSentOnlyIfThereIsTimeForIt(Idempotency idempotency, long arrivalUs, long serviceUs, int sent) {
+        start(idempotency);
+        serve(1, serviceUs);
+        startShutdown();
+        host.advance(arrivalUs);
+        accept(2, 0);
+        assertEquals(sent, host.countActions("send 2"));
+        assertEquals(1 - sent, host.countActions("reject 2"));
+    }
+
+    /** A job that can't be refused any more once it was sent needs as much time as its hint says; another one may run on a fast worker. */
+    @ParameterizedTest
+    @CsvSource({"IDEMPOTENT, 700000, 1", "IDEMPOTENT, 900000, 0", "NON_IDEMPOTENT, 700000, 0", "NON_IDEMPOTENT, 450000, 1"})
+    void jobWithHintIsSentOnlyIfThereIsTimeForIt(Idempotency idempotency, long hintUs, int sent) {
+        start(idempotency);
+        startShutdown();
+        host.advance(WINDOW_US - 500_000);
+        accept(1, hintUs);
+        assertEquals(sent, host.countActions("send 1"));
+        assertEquals(1 - sent, host.countActions("reject 1"));
+    }
+
+    /** Nothing is known of the class: a job that may be refused later is tried, another one only if there is time for the usual job. */
+    @ParameterizedTest
+    @CsvSource({"IDEMPOTENT, 1100000, 1", "NON_IDEMPOTENT, 1100000, 0", "NON_IDEMPOTENT, 900000, 1"})
+    void jobOfAClassWithoutResultsSoFar(Idempotency idempotency, long arrivalUs, int sent) {
+        start(idempotency);
+        startShutdown();
+        host.advance(arrivalUs);
+        accept(1, 0);
+        assertEquals(sent, host.countActions("send 1"));
+        assertEquals(1 - sent, host.countActions("reject 1"));
+    }
+
     /** Requests that become whole between the last response and SIGKILL. */
     @ParameterizedTest
     @EnumSource(Idempotency.class)
--- a/node/src/test/java/hookweir/net/ShortDeadlineShutdownTest.java
+++ b/node/src/test/java/hookweir/net/ShortDeadlineShutdownTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -123,4 +124,31 @@
             worker.close();
         }
     }
+
+    /** A job that a worker ran for 1.3 s was sent with less time left. What can still end is served. */
+    @Test
+    void requestThatCanNotEndInTimeIsRefusedAtOnce() throws Exception {
+        try (TestNode node = start("non_idempotent", 1_500); Socket client = node.connect()) {
+            Socket worker = sendHungJob(node, client, "d1", 1_500);
+            advanceMs(node, 1_300);
+            node.sendCallback("d1", "s-01", "done");
+            assertTrue(receive(client).startsWith("HTTP/1.1 200"));
+            drain(node);
+            try (Socket early = node.connect()) {
+                send(early, job("d2", 1_500));
+                assertTrue(receive(worker).contains("Req-Id: d2\r\n"));
+                send(worker, ACCEPTED);
+                advanceMs(node, 1_200);
+                try (Socket late = node.connect()) {
+                    send(late, job("d3", 1_500));
+                    node.awaitIoRounds();
+                    assertTrue(arrivedResponse(late).startsWith("HTTP/1.1 429"));
+                }
+                node.sendCallback("d2", "s-01", "done");
+                assertTrue(receive(early).startsWith("HTTP/1.1 200"));
+                assertEquals(2, node.node.invariants().counted("attempts OK"));
+            }
+            worker.close();
+        }
+    }
 }
