Refuse half-read requests at the end of a graceful shutdown, and exit then

Callers that write slowly (2 s are theirs) got no answer where the longest deadline is short: the process waited for them for 2.5 s, beyond the earliest SIGKILL, and what became whole just before it was lost.

Cause: ConnectionSweeper.REQUEST_TIMEOUT_US is a constant, and the exit waits for every connection that has not sent its request. With the last responses, 0.2 s before the earliest SIGKILL, what is being received now gets a 429, also a body that waits for memory (BodyAdmission, 0.5 s) and a new connection without any input; a callback gets no response, so that its worker repeats it. Connections with unanswered requests are left until these have their refusal. The process then exits without waiting for attempts that can't be cancelled. The Retry-After of rejections that the host makes is the module's.

--- a/core/src/main/java/hookweir/Contract.java
+++ b/core/src/main/java/hookweir/Contract.java
@@ -305,6 +305,11 @@
         default void shutdownStarted(long nowUs, long shutdownAtUs) {
         }
 
+        /** The delay after which the client of a request that the host itself rejects should retry; 0: no advice. Has no effect. */
+        default long retryAfterUs() {
+            return 0;
+        }
+
         /** New settings apply from now on; open requests keep the class with which they were accepted. */
         default void settingsChanged(long nowUs, Settings settings) {
         }
--- a/core/src/main/java/hookweir/Policy.java
+++ b/core/src/main/java/hookweir/Policy.java
@@ -431,13 +431,16 @@
     private void finish(Job job, EndReason reason, long now) {
         host.reportEndReason(job.request.id, reason);
         rejectedUs = now;
-        long retryAfterUs = stopUs > 0 ? Math.min(SHUTDOWN_RETRY_US, settings.maxRetryAfterUs)
-            : settings.maxRetryAfterUs;
-        if (mayReject(job)) host.reject(job.request.id, settings.retryAfterAllowed ? retryAfterUs : 0);
+        if (mayReject(job)) host.reject(job.request.id, retryAfterUs());
         else host.fail(job.request.id);
         close(job);
     }
 
+    @Override public long retryAfterUs() {
+        if (!settings.retryAfterAllowed) return 0;
+        return stopUs > 0 ? Math.min(SHUTDOWN_RETRY_US, settings.maxRetryAfterUs) : settings.maxRetryAfterUs;
+    }
+
     private void close(Job job) {
         job.done = true;
         // Removed now: place() never runs for it if its probed worker leaves the list before it responds.
--- a/node/src/main/java/hookweir/net/JobAdmission.java
+++ b/node/src/main/java/hookweir/net/JobAdmission.java
@@ -105,9 +105,8 @@
             + (outstanding == null ? "none" : "number " + outstanding.number) + " outstanding; " + request.client.describeInput(now));
     }
 
-    /** Returns the Retry-After value for jobs rejected for lack of capacity; null for none. */
+    /** Returns the Retry-After value for jobs that the decision module does not see; null for none. */
     String retryAfter() {
-        Contract.Settings settings = active.settings();
-        return settings.retryAfterAllowed ? PendingRequests.retryAfterSeconds(settings.maxRetryAfterUs) : null;
+        return PendingRequests.retryAfterSeconds(module.retryAfterUs());
     }
 }
--- a/node/src/main/java/hookweir/net/PendingRequests.java
+++ b/node/src/main/java/hookweir/net/PendingRequests.java
@@ -108,6 +108,11 @@
         return byNumber.isEmpty();
     }
 
+    /** Returns whether every pending request has its final response. */
+    boolean isEveryRequestAnswered() {
+        return byNumber.values().stream().allMatch(request -> request.closed);
+    }
+
     /** Returns how many of the pending requests have their final response. */
     long respondedCount() {
         return byNumber.values().stream().filter(request -> request.closed).count();
--- a/node/src/main/java/hookweir/net/Shutdown.java
+++ b/node/src/main/java/hookweir/net/Shutdown.java
@@ -4,6 +4,7 @@
 import hookweir.net.admin.ServingState;
 import hookweir.net.server.HttpServer;
 import hookweir.shutdown.ShutdownWindow;
+import hookweir.timer.TimerWheel;
 
 /**
  * Closes clients' connections between requests while an operator, a successor process or a shutdown requires it, and stops the
@@ -26,6 +27,8 @@
     private long startedUs;
     /** When every request needs its response; it only moves to earlier times. */
     private long respondByUs;
+    private TimerWheel.Timer respondByTimer;
+    private boolean timeOver;
     /** A successor process has taken over the clients. */
     private boolean successorServing;
 
@@ -94,10 +97,24 @@
     private void setRespondBy(long us) {
         respondByUs = us;
         module.shutdownStarted(loop.nowUs(), us);
+        if (respondByTimer != null) {
+            respondByTimer.cancel();
+        }
+        respondByTimer = loop.schedule(us - loop.nowUs(), this::endTime);
+    }
+
+    private void endTime() {
+        timeOver = true;
+        server.refuseUnfinishedRequests();
     }
 
     private void exitWhenIdle() {
-        if (pending.isEmpty() && server.isDrained()) {
+        if (timeOver) {
+            server.refuseUnfinishedRequests();
+        }
+        // Attempts that can't be cancelled don't keep a process whose clients have all their responses.
+        boolean finished = timeOver ? pending.isEveryRequestAnswered() : pending.isEmpty();
+        if (finished && server.isDrained()) {
             // Clients that connect from now on wait in the backlog of an inherited socket for the successor process.
             server.setAccepting(false);
             Log.line("idle " + (loop.nowUs() - startedUs) / US_PER_MS + " ms after the signal, leaving; " + invariants);
--- a/node/src/main/java/hookweir/net/server/BodyAdmission.java
+++ b/node/src/main/java/hookweir/net/server/BodyAdmission.java
@@ -114,10 +114,20 @@
 
     /** Rejects the request being read for lack of memory. The client gets the error after its pending responses. */
     void reject(InboundConnection connection, String className) {
+        invariants.count("ingress turned away for room");
+        endWithRejection(connection, className);
+    }
+
+    /** Rejects the request being read, or the one that may be on its way, for lack of time before this process ends. */
+    void rejectUnfinished(InboundConnection connection) {
+        invariants.count("ingress unfinished at the end");
+        endWithRejection(connection, connection.decoder.className());
+    }
+
+    private void endWithRejection(InboundConnection connection, String className) {
         waitingConnections.remove(connection);
         connection.budgetWaitSinceUs = 0;
         readControl.setUnparsedInput(connection, null);
-        invariants.count("ingress turned away for room");
         handler.jobRejected(className);
         readControl.discardInput(connection, 0);
         readControl.updateReading(connection);
--- a/node/src/main/java/hookweir/net/server/ConnectionSweeper.java
+++ b/node/src/main/java/hookweir/net/server/ConnectionSweeper.java
@@ -68,7 +68,7 @@
         boolean receiving = connection.partialRequestSinceUs != 0;
         boolean timedOut = receiving ? now - connection.partialRequestSinceUs > REQUEST_TIMEOUT_US
             : !connection.requestReceived && now - connection.openedUs > REQUEST_TIMEOUT_US;
-        if (timedOut && receiving && connection.decoder.path() != null && RequestReservations.isCallback(connection.decoder.path())) {
+        if (timedOut && receiving && connection.isReceivingCallback()) {
             // Any response, whatever its status, would end the worker's retries and thereby lose the job.
             invariants.count("ingress slow call-back");
             closer.close(connection, CloseReason.SLOW_CALLBACK);
@@ -84,6 +84,30 @@
         }
     }
 
+    /**
+     * Refuses the requests that are being received, as there is no time left to answer them once they are complete. Connections with
+     * unanswered requests are left until these have their responses.
+     */
+    void refuseUnfinishedRequests() {
+        for (InboundConnection connection : connections.snapshot()) {
+            if (!connection.isClosing() && connection.isIdle()) {
+                refuseUnfinishedRequest(connection);
+            }
+        }
+    }
+
+    private void refuseUnfinishedRequest(InboundConnection connection) {
+        if (connection.carriesCallbacks || connection.isReceivingCallback()) {
+            if (!connection.isInactive()) {
+                closer.close(connection, CloseReason.SLOW_CALLBACK);
+            }
+        } else if (connection.isIdleKeepAlive()) {
+            closer.close(connection, CloseReason.SENT_AWAY);
+        } else {
+            admission.rejectUnfinished(connection);
+        }
+    }
+
     /** Whether clients are being moved to other schedulers. */
     boolean isDraining() {
         return draining;
--- a/node/src/main/java/hookweir/net/server/HttpServer.java
+++ b/node/src/main/java/hookweir/net/server/HttpServer.java
@@ -123,6 +123,14 @@
         sweeper.setDraining(draining);
     }
 
+    /**
+     * Refuses all requests that are being received, as this process ends before it could answer them. Workers' callbacks get no response, so
+     * that they are repeated.
+     */
+    public void refuseUnfinishedRequests() {
+        sweeper.refuseUnfinishedRequests();
+    }
+
     /**
      * Whether nothing is being read or written and no client connection is left. Client connections are half-closed first
      * and count until they are fully closed, as a request may still arrive on them.
--- a/node/src/main/java/hookweir/net/server/InboundConnection.java
+++ b/node/src/main/java/hookweir/net/server/InboundConnection.java
@@ -192,6 +192,11 @@
         return isIdle() && partialRequestSinceUs == 0 && unparsedInput == null && !ignoresInput();
     }
 
+    /** Whether the request that is being received is known to be a worker's callback. */
+    boolean isReceivingCallback() {
+        return partialRequestSinceUs != 0 && decoder.path() != null && RequestReservations.isCallback(decoder.path());
+    }
+
     /** Whether no request was read behind the current one. */
     boolean hasNoPipelinedInput() {
         return pipelined.isEmpty() && unparsedInput == null;
--- a/node/src/test/java/hookweir/net/ShortDeadlineShutdownTest.java
+++ b/node/src/test/java/hookweir/net/ShortDeadlineShutdownTest.java
@@ -5,6 +5,7 @@
 import static hookweir.net.TestNode.receive;
 import static hookweir.net.TestNode.send;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -29,6 +30,7 @@
     private static final long KILL_DELAY_MS = 700;
     /** A request that is whole before this may be unanswered at SIGKILL, but not where the process ends by itself. */
     private static final long ARRIVAL_MS = 300;
+    private static final long EXIT_STEP_MS = 20;
 
     @TempDir
     Path folder;
@@ -67,9 +69,14 @@
     }
 
     private void reload(TestNode node, long fromDeadlineMs, long toDeadlineMs) throws IOException, InterruptedException {
+        reload(node, "\"deadline_us\":" + fromDeadlineMs * US_PER_MS, "\"deadline_us\":" + toDeadlineMs * US_PER_MS);
+    }
+
+    private void reload(TestNode node, String replaced, String replacement) throws IOException, InterruptedException {
         Path file = folder.resolve("config.json");
         String config = node.config("127.0.0.1:" + node.listService.getLocalPort());
-        Files.writeString(file, config.replace("\"deadline_us\":" + fromDeadlineMs * US_PER_MS, "\"deadline_us\":" + toDeadlineMs * US_PER_MS));
+        assertTrue(config.contains(replaced));
+        Files.writeString(file, config.replace(replaced, replacement));
         node.node.reload(Map.of("RELAY_CONFIG", file.toString()));
         node.awaitIoRounds();
         assertEquals(0, node.node.invariants().counted("reloads refused"));
@@ -151,4 +158,80 @@
             worker.close();
         }
     }
+
+    /** Asserts that the process ends by itself no later than at the earliest SIGKILL. */
+    private static void assertEnds(TestNode node, long timeLeftMs) throws InterruptedException {
+        for (long left = timeLeftMs; left > 0 && node.loopThread.isAlive(); left -= EXIT_STEP_MS) {
+            node.advanceFrozenClock(EXIT_STEP_MS * US_PER_MS);
+            node.loopThread.join(EXIT_STEP_MS);
+        }
+        assertFalse(node.loopThread.isAlive(), "ended before the earliest SIGKILL");
+    }
+
+    /**
+     * A client that writes slowly is served, or refused while it still writes: the process waited for it beyond the earliest SIGKILL, and a
+     * request that became whole in between got no response.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, 50", "0, 300", "30, 300", "110, 300", "110, 1500", "30, 1500", "0, 6000"})
+    void unfinishedRequestIsRefusedAtTheEnd(int writtenBytes, long deadlineMs) throws Exception {
+        try (TestNode node = start("non_idempotent", deadlineMs)) {
+            Socket hung = node.connect(); // not in a try block, as the test closes it
+            Socket worker = sendHungJob(node, hung, "e0", 10_000);
+            drain(node);
+            advanceMs(node, earliestKillMs(deadlineMs) - 500);
+            try (Socket client = node.connect()) {
+                String request = job("e1", deadlineMs);
+                send(client, request.substring(0, writtenBytes));
+                node.awaitIoRounds();
+                advanceMs(node, 400);
+                assertTrue(arrivedResponse(client).startsWith("HTTP/1.1 429"));
+                send(client, request.substring(writtenBytes)); // goes on writing
+                assertEquals(-1, client.getInputStream().read(), "a clean end");
+            }
+            hung.close();
+            worker.close();
+            assertEnds(node, 100);
+            assertEquals(1, node.node.invariants().counted("requests"));
+        }
+    }
+
+    /** The process stayed for an attempt that can't be cancelled until the deadline of its request, although that had its response. */
+    @Test
+    void processEndsAlthoughAnAttemptCanNotBeCancelled() throws Exception {
+        try (TestNode node = start("read_like", 400)) {
+            Socket client = node.connect(); // not in a try block, as the test closes it
+            reload(node, "\"cancel\":true", "\"cancel\":false");
+            Socket worker = sendHungJob(node, client, "f1", 9_000);
+            drain(node);
+            advanceMs(node, 920);
+            assertTrue(arrivedResponse(client).startsWith("HTTP/1.1 429"));
+            client.close();
+            assertEnds(node, 160);
+            worker.close();
+        }
+    }
+
+    /** Requests that a client sent at once all have their responses, one after the other. */
+    @Test
+    void requestsThatWaitBehindAHungOneAreRefusedAtTheEnd() throws Exception {
+        int waiting = 7;
+        try (TestNode node = start("read_like", 400)) {
+            Socket client = node.connect(); // not in a try block, as the test closes it
+            Socket worker = sendHungJob(node, client, "g0", 9_000);
+            for (int i = 1; i <= waiting; i++) {
+                send(client, job("g" + i, 9_000));
+            }
+            drain(node);
+            advanceMs(node, 920);
+            for (int i = 0; i <= waiting; i++) {
+                assertTrue(receive(client).startsWith("HTTP/1.1 429"));
+                node.awaitIoRounds();
+            }
+            assertEquals(-1, client.getInputStream().read());
+            client.close();
+            assertEnds(node, 160);
+            worker.close();
+        }
+    }
 }
