Bound the wait for a peer process by the request's deadline and the shutdown

In an upgrade with a peer process that hangs, callers got their answer up to 0.25 s after their deadline, which is late for deadlines under that, and none before the earliest SIGKILL for requests whose ids were being claimed at the end of the old process.

Cause: PeerProcesses.CLAIM_TIMEOUT_US is a constant, and the decision module, which ends every other request in time, learns of a request only when its id is claimed. Now the request has a timer of its own until then (PendingRequest.setTimer), and is rejected at its deadline; at the end of a shutdown all that wait are rejected, and later ones that would have to wait. Such a request is never accepted afterwards: without a verdict it could run twice, so giving the claim up sooner and accepting was ruled out. Its id stays used. New counter 'requests not claimed in time'.

--- a/node/src/main/java/hookweir/net/JobAdmission.java
+++ b/node/src/main/java/hookweir/net/JobAdmission.java
@@ -13,6 +13,8 @@
 final class JobAdmission {
     private static final byte[] NO_BODY = new byte[0];
     private static final long US_PER_MS = 1_000;
+    /** A response is due this much before the deadline, as the decision module's are. */
+    private static final int DEADLINE_MARGIN_TICKS = 2;
 
     private final Loop loop;
     private final Invariants invariants;
@@ -25,6 +27,8 @@
     private final RequestClaims claims;
     private final Contract.Dispatcher module;
     private int lastRequestId;
+    /** Whether too little time is left to wait for the peer processes. */
+    private boolean claimsEnded;
 
     JobAdmission(Loop loop, Invariants invariants, EventLog events, Metrics metrics, ActiveSettings active, ResourceBudget budget, HttpServer server,
             PendingRequests pending, RequestClaims claims, Contract.Dispatcher module) {
@@ -68,9 +72,36 @@
         metrics.jobAccepted();
         server.setClientDisconnectAction(connection, () -> clientDisconnected(added));
         claims.claimFromPeers(added, isNew -> idClaimed(added, isNew));
+        if (claims.isWaiting(added)) {
+            limitClaim(added);
+        }
         return true;
     }
 
+    /** The decision module does not know the request yet, so that its response in time is due here. */
+    private void limitClaim(PendingRequest request) {
+        if (claimsEnded) {
+            rejectUnclaimed(request);
+            return;
+        }
+        long remainingUs = request.job.deadlineAtUs - DEADLINE_MARGIN_TICKS * active.settings().tickUs - loop.nowUs();
+        request.setTimer(loop.schedule(remainingUs, () -> rejectUnclaimed(request)));
+    }
+
+    private void rejectUnclaimed(PendingRequest request) {
+        if (claims.isWaiting(request)) {
+            invariants.count("requests not claimed in time");
+            claims.abandon(request);
+            pending.reject(request, module.retryAfterUs());
+        }
+    }
+
+    /** Rejects the requests whose ids are being claimed, and from now on all that would have to wait for that: this process is about to end. */
+    void endClaims() {
+        claimsEnded = true;
+        pending.all().forEach(this::rejectUnclaimed);
+    }
+
     /** Hands a request to the decision module, unless another process of this scheduler has a request with this id. */
     private void idClaimed(PendingRequest request, boolean isNew) {
         if (request.closed) {
--- a/node/src/main/java/hookweir/net/PendingRequest.java
+++ b/node/src/main/java/hookweir/net/PendingRequest.java
@@ -23,8 +23,8 @@
     final List<Attempt> attempts = new ArrayList<>();
     /** The final response was sent, or the client disconnected. */
     boolean closed;
-    /** The decision module's timer for this request, which ensures that the request is never forgotten. */
-    TimerWheel.Timer requestTimer;
+    /** Ensures that the request is never forgotten: the limit of its claim, then the decision module's timer for it. */
+    private TimerWheel.Timer timer;
     /** Receives whether the request may be accepted; null unless its id is being claimed from the peer processes. */
     Consumer<Boolean> claimResult;
 
@@ -35,6 +35,19 @@
         this.acceptedUs = acceptedUs;
     }
 
+    /** Replaces the timer of this request; the earlier one does not expire any more. */
+    void setTimer(TimerWheel.Timer next) {
+        cancelTimer();
+        timer = next;
+    }
+
+    /** Cancels the timer of this request, if there is one. */
+    void cancelTimer() {
+        if (timer != null) {
+            timer.cancel();
+        }
+    }
+
     /** Returns the id assigned by the client. */
     String clientId() {
         return httpRequest.headers().id();
--- a/node/src/main/java/hookweir/net/PendingRequests.java
+++ b/node/src/main/java/hookweir/net/PendingRequests.java
@@ -5,6 +5,7 @@
 import hookweir.room.ResourceBudget;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -44,6 +45,11 @@
         return byClientId.get(id);
     }
 
+    /** Returns all pending requests, as of now. */
+    List<PendingRequest> all() {
+        return List.copyOf(byNumber.values());
+    }
+
     /** Returns the client-assigned ids of all pending requests. */
     Set<String> clientIds() {
         return Collections.unmodifiableSet(byClientId.keySet());
@@ -89,9 +95,7 @@
     void removeIfFinished(PendingRequest request) {
         if (request.closed && request.outstandingAttempt() == null && byNumber.remove(request.job.id, request)) {
             byClientId.remove(request.httpRequest.headers().id(), request);
-            if (request.requestTimer != null) {
-                request.requestTimer.cancel();
-            }
+            request.cancelTimer();
             budget.releaseJob();
             server.releaseBody(request.httpRequest);
             removalListener.accept(request);
--- a/node/src/main/java/hookweir/net/RequestClaims.java
+++ b/node/src/main/java/hookweir/net/RequestClaims.java
@@ -43,6 +43,16 @@
         peers.claimId(request.clientId(), null, usedByPeer -> complete(request, usedByPeer));
     }
 
+    /** Returns whether the request waits for the verdict of a peer process. */
+    boolean isWaiting(PendingRequest request) {
+        return request.claimResult != null;
+    }
+
+    /** Stops waiting for the verdict: the request is not accepted, and the result does not run. Its id remains used. */
+    void abandon(PendingRequest request) {
+        request.claimResult = null;
+    }
+
     private void complete(PendingRequest request, boolean usedByPeer) {
         Consumer<Boolean> result = request.claimResult;
         request.claimResult = null;
--- a/node/src/main/java/hookweir/net/Shutdown.java
+++ b/node/src/main/java/hookweir/net/Shutdown.java
@@ -21,6 +21,7 @@
     private final ActiveSettings active;
     private final ServingState standing;
     private final HttpServer server;
+    private final JobAdmission admission;
     private final PendingRequests pending;
     private final Contract.Dispatcher module;
     private boolean draining;
@@ -32,13 +33,14 @@
     /** A successor process has taken over the clients. */
     private boolean successorServing;
 
-    Shutdown(Loop loop, Invariants invariants, ActiveSettings active, ServingState standing, HttpServer server, PendingRequests pending,
-            Contract.Dispatcher module) {
+    Shutdown(Loop loop, Invariants invariants, ActiveSettings active, ServingState standing, HttpServer server,
+            JobAdmission admission, PendingRequests pending, Contract.Dispatcher module) {
         this.loop = loop;
         this.invariants = invariants;
         this.active = active;
         this.standing = standing;
         this.server = server;
+        this.admission = admission;
         this.pending = pending;
         this.module = module;
     }
@@ -105,6 +107,7 @@
 
     private void endTime() {
         timeOver = true;
+        admission.endClaims();
         server.refuseUnfinishedRequests();
     }
 
--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -76,7 +76,7 @@
         callbacks = new CallbackReceiver(loop, invariants, active, server, pending, module, succession);
         JobAdmission admission = new JobAdmission(loop, invariants, events, metrics, active, budget, server, pending, claims, module);
         router = new RequestRouter(invariants, standing, metrics, active, server, callbacks, admission);
-        shutdown = new Shutdown(loop, invariants, active, standing, server, pending, module);
+        shutdown = new Shutdown(loop, invariants, active, standing, server, admission, pending, module);
         reporter = new StatusReporter(loop, invariants, metrics, budget, server, workerConnections, pending, module, membership);
         resources.update();
     }
@@ -313,7 +313,7 @@
     public void startRequestTimer(int requestId, long token, long delayUs) {
         PendingRequest request = pending.byNumber(requestId);
         if (invariants.check(request != null, "guard of an unknown request")) {
-            request.requestTimer = loop.schedule(delayUs, () -> module.timerExpired(loop.nowUs(), token));
+            request.setTimer(loop.schedule(delayUs, () -> module.timerExpired(loop.nowUs(), token)));
         }
     }
 
--- a/node/src/test/java/hookweir/net/RequestClaimsTest.java
+++ b/node/src/test/java/hookweir/net/RequestClaimsTest.java
@@ -30,6 +30,8 @@
     private static final int SERVING = 1;
     private static final int HEADER_BYTES = 9;
     private static final long CLAIM_TIMEOUT_US = 250_000;
+    /** From SIGTERM to the last responses where the longest deadline is over 3 s. */
+    private static final long RESPONSE_WINDOW_US = 3_500_000;
     /** More than the ids that a process remembers of one kind. */
     private static final int REJECTED_IDS = 5_000;
     private static final String CONFLICT = "HTTP/1.1 409";
@@ -184,6 +186,52 @@
         }
     }
 
+    /** A request got its response up to a quarter of a second after its deadline while a peer process was waited for. */
+    @Test
+    void requestIsRejectedByItsDeadlineIfItsIdIsNotClaimedUntilThen() throws Exception {
+        try (TestNode old = startProcess(); TestNode successor = startSuccessor(old)) {
+            CountDownLatch gate = old.blockLoop();
+            successor.freezeClock();
+            try (Socket client = successor.connect()) {
+                send(client, job("i1", 100));
+                successor.awaitIoRounds();
+                successor.advanceInSteps(80_000);
+                assertEquals(0, client.getInputStream().available());
+                successor.advanceInSteps(20_000);
+                assertTrue(receive(client).startsWith("HTTP/1.1 429"));
+                successor.advanceInSteps(CLAIM_TIMEOUT_US);
+                assertEquals(0, successor.node.invariants().counted("requests"), "not accepted after its response");
+                assertTrue(responseTo(successor, "i1").startsWith(CONFLICT));
+            } finally {
+                gate.countDown();
+            }
+        }
+    }
+
+    /** Requests were not answered before the earliest SIGKILL if their ids were being claimed at the end of the shutdown, or came after it. */
+    @Test
+    void requestsAreRejectedAtTheEndOfAShutdownWhileTheirIdsAreClaimed() throws Exception {
+        try (ServerSocketChannel socket = bindPath(); TestNode scheduler = startBehind(); FakePeer old = new FakePeer(socket.accept())) {
+            scheduler.freezeClock();
+            scheduler.node.drain();
+            scheduler.awaitIoRounds();
+            try (Socket pendingClient = sendJob(scheduler, "j0")) {
+                int claim = old.expect(CLAIM, "j0");
+                old.sendFrame(VERDICT, claim, new byte[] {0});
+                scheduler.awaitCount("requests", 1);
+                scheduler.advanceInSteps(RESPONSE_WINDOW_US - 100_000);
+                try (Socket waiting = sendJob(scheduler, "j1")) {
+                    old.expect(CLAIM, "j1");
+                    scheduler.advanceInSteps(120_000);
+                    assertTrue(receive(waiting).startsWith("HTTP/1.1 429"));
+                }
+                assertTrue(responseTo(scheduler, "j2").startsWith("HTTP/1.1 429"), "the clock stands still");
+                assertTrue(receive(pendingClient).startsWith("HTTP/1.1 500"));
+                assertEquals(1, scheduler.node.invariants().counted("requests"));
+            }
+        }
+    }
+
     /** Plays a peer process with raw frames. */
     private record FakePeer(SocketChannel channel) implements AutoCloseable {
         void sendFrame(int kind, int number, byte[] payload) throws IOException {
