Let a body wait for memory for half of its client's time at most

Callers with deadlines under 0.7 s got their refusal after the deadline when memory was short, too late to try another scheduler.

Now each wait has a timer: half of the request's own Req-Deadline-Ms, or of its class's deadline without one, 0.5 s at most as before. Callbacks still wait without a limit.

--- a/node/src/main/java/hookweir/net/RequestRouter.java
+++ b/node/src/main/java/hookweir/net/RequestRouter.java
@@ -75,6 +75,11 @@
         return active.requestParser().classNumber(className);
     }
 
+    @Override
+    public long timeoutUs(String className, String deadlineMs) {
+        return active.requestParser().timeoutUs(className, deadlineMs);
+    }
+
     @Override
     public void jobRejected(String className) {
         int number = classNumber(className);
--- a/node/src/main/java/hookweir/net/SocketHost.java
+++ b/node/src/main/java/hookweir/net/SocketHost.java
@@ -103,6 +103,11 @@
             return router.classNumber(className);
         }
 
+        @Override
+        public long timeoutUs(String className, String deadlineMs) {
+            return router.timeoutUs(className, deadlineMs);
+        }
+
         @Override
         public void jobRejected(String className) {
             router.jobRejected(className);
--- a/node/src/main/java/hookweir/net/server/BodyAdmission.java
+++ b/node/src/main/java/hookweir/net/server/BodyAdmission.java
@@ -14,6 +14,10 @@
  * come, first served), or rejects the request. Belongs to the loop.
  */
 final class BodyAdmission {
+    /** How long a job's body waits for memory at most. It leaves well-behaved clients enough time to try another scheduler. */
+    private static final long MAX_WAIT_US = 500_000;
+    /** The share of a client's own time that it waits at most, for the same reason. */
+    private static final double MAX_WAIT_SHARE = 0.5;
 
     private final Loop loop;
     private final Invariants invariants;
@@ -69,13 +73,37 @@
         }
         if (connection.budgetWaitSinceUs == 0) {
             invariants.count("ingress waits for room");
-            connection.budgetWaitSinceUs = loop.nowUs();
-            waitingConnections.add(connection);
+            startWaiting(connection);
             readControl.updateReading(connection);
         }
         return false;
     }
 
+    private void startWaiting(InboundConnection connection) {
+        connection.budgetWaitSinceUs = loop.nowUs();
+        waitingConnections.add(connection);
+        if (!connection.receivingCallback) {
+            long clientWaitsUs = handler.timeoutUs(connection.decoder.className(), connection.decoder.deadlineMs());
+            long limitUs = Math.min(MAX_WAIT_US, (long) (clientWaitsUs * MAX_WAIT_SHARE));
+            connection.budgetWaitTimer = loop.schedule(limitUs, () -> waitedTooLong(connection));
+        }
+    }
+
+    private void waitedTooLong(InboundConnection connection) {
+        if (!connection.isClosing()) {
+            reject(connection, connection.decoder.className());
+        }
+    }
+
+    private void endWaiting(InboundConnection connection) {
+        waitingConnections.remove(connection);
+        connection.budgetWaitSinceUs = 0;
+        if (connection.budgetWaitTimer != null) {
+            connection.budgetWaitTimer.cancel();
+            connection.budgetWaitTimer = null;
+        }
+    }
+
     /**
      * Whether clients hold all the connections they may and none of them can be closed. The remaining connections are for
      * workers' callbacks.
@@ -105,8 +133,7 @@
         if (connection.ignoresInput()) {
             return; // the request was rejected
         }
-        waitingConnections.remove(connection);
-        connection.budgetWaitSinceUs = 0;
+        endWaiting(connection);
         connection.partialRequestSinceUs = loop.nowUs(); // waiting for memory does not count towards the client's time limit
         readBuffered.accept(connection);
         readControl.updateReading(connection);
@@ -125,8 +152,7 @@
     }
 
     private void endWithRejection(InboundConnection connection, String className) {
-        waitingConnections.remove(connection);
-        connection.budgetWaitSinceUs = 0;
+        endWaiting(connection);
         readControl.setUnparsedInput(connection, null);
         handler.jobRejected(className);
         readControl.discardInput(connection, 0);
@@ -136,6 +162,6 @@
 
     /** Removes a closed connection from the queue. */
     void connectionClosed(InboundConnection connection) {
-        waitingConnections.remove(connection);
+        endWaiting(connection);
     }
 }
--- a/node/src/main/java/hookweir/net/server/ConnectionSweeper.java
+++ b/node/src/main/java/hookweir/net/server/ConnectionSweeper.java
@@ -15,8 +15,6 @@
      * clients may take 2 s to write a request, and others must get a response within 3 s, including the sweep interval.
      */
     private static final long REQUEST_TIMEOUT_US = 2_500_000;
-    /** How long a job's body waits for memory. It leaves well-behaved clients enough time to try another scheduler. */
-    private static final long BUDGET_WAIT_TIMEOUT_US = 500_000;
     /** How long a client may leave its response unread before it may be disconnected while memory for results is short. */
     private static final long WRITE_STALL_TIMEOUT_US = 3_000_000;
 
@@ -55,11 +53,7 @@
             invariants.count("ingress answer not read");
             closer.recordClose(connection, CloseReason.ANSWER_NOT_READ);
             connection.transportConnection.terminateSilently();
-        } else if (connection.budgetWaitSinceUs != 0) {
-            if (now - connection.budgetWaitSinceUs > BUDGET_WAIT_TIMEOUT_US && !connection.receivingCallback && !connection.isClosing()) {
-                admission.reject(connection, connection.decoder.className());
-            }
-        } else if (!connection.isClosing() && connection.isIdle()) {
+        } else if (connection.budgetWaitSinceUs == 0 && !connection.isClosing() && connection.isIdle()) {
             checkIdle(connection, now);
         }
     }
--- a/node/src/main/java/hookweir/net/server/InboundConnection.java
+++ b/node/src/main/java/hookweir/net/server/InboundConnection.java
@@ -75,6 +75,8 @@
     boolean receivingCallback;
     /** Since when a body has been waiting for memory; 0 if none is. */
     long budgetWaitSinceUs;
+    /** Limits that wait; null if there is none, or no limit. */
+    TimerWheel.Timer budgetWaitTimer;
     /** Input that was read but cannot be parsed yet, or null. */
     byte[] unparsedInput;
     /** Response bytes that the client has not read yet. */
--- a/node/src/main/java/hookweir/net/server/RequestDecoder.java
+++ b/node/src/main/java/hookweir/net/server/RequestDecoder.java
@@ -100,6 +100,11 @@
         return uniqueHeaderValues[REQ_ID_INDEX + 1];
     }
 
+    /** The Req-Deadline-Ms header of the request whose body was announced, as sent, or null. */
+    String deadlineMs() {
+        return uniqueHeaderValues[REQ_ID_INDEX + 2];
+    }
+
     /** The path of the request whose body was announced. */
     String path() {
         return path;
--- a/node/src/main/java/hookweir/net/server/RequestHandler.java
+++ b/node/src/main/java/hookweir/net/server/RequestHandler.java
@@ -11,6 +11,14 @@
     /** The number of the request class with this name, or -1. */
     int classNumber(String className);
 
+    /**
+     * How long the client of a job waits for its response, in µs.
+     *
+     * @param className the name of its class, as sent, or null
+     * @param deadlineMs its Req-Deadline-Ms header, or null
+     */
+    long timeoutUs(String className, String deadlineMs);
+
     /** Called when a job of the named class is rejected for lack of memory before its body was read. */
     void jobRejected(String className);
 
--- a/node/src/main/java/hookweir/net/server/RequestParser.java
+++ b/node/src/main/java/hookweir/net/server/RequestParser.java
@@ -7,6 +7,7 @@
 
 /** Converts a client's headers to a request of the scheduling module. */
 public final class RequestParser {
+    private static final long US_PER_MS = 1_000;
     private static final long MAX_DEADLINE_MS = 24 * 3_600_000L;
     private static final int MAX_HEX_KEY_DIGITS = 16;
     private static final int MAX_DEADLINE_DIGITS = 9;
@@ -53,10 +54,7 @@
             throw new BadRequestException("Req-Kind is missing or unknown");
         }
         request.requestClass = classNumber;
-        // Without a Req-Deadline-Ms header the deadline of the class applies.
-        long timeoutUs = headers.deadlineMs() == null ? classList.get(classNumber).deadlineUs
-            : 1000 * parseDeadlineMs(headers.deadlineMs());
-        request.deadlineAtUs = nowUs + timeoutUs;
+        request.deadlineAtUs = nowUs + timeoutUs(classNumber, headers.deadlineMs());
         request.costHintUs = headers.cost() == null ? 0 : parseWholeNumber("Req-Cost", headers.cost(), Integer.MAX_VALUE * 2L);
         request.clientRetry = "1".equals(headers.retry());
         request.key = parseKey(path);
@@ -67,6 +65,24 @@
         return request;
     }
 
+    /** Without a Req-Deadline-Ms header the deadline of the class applies. */
+    private long timeoutUs(int classNumber, String deadlineMs) throws BadRequestException {
+        return deadlineMs == null ? classList.get(classNumber).deadlineUs : US_PER_MS * parseDeadlineMs(deadlineMs);
+    }
+
+    /**
+     * How long a client waits for the response to a request with these headers, which may be null, in µs; the longest possible time if the
+     * request is invalid.
+     */
+    public long timeoutUs(String className, String deadlineMs) {
+        int classNumber = classNumber(className);
+        try {
+            return classNumber < 0 ? MAX_DEADLINE_MS * US_PER_MS : timeoutUs(classNumber, deadlineMs);
+        } catch (BadRequestException e) {
+            return MAX_DEADLINE_MS * US_PER_MS; // it gets its error once it is complete
+        }
+    }
+
     /** The number of the class with this name as clients send it, or -1. */
     public int classNumber(String className) {
         Integer number = className == null ? null : classNumberByName.get(ConfigReader.toWireToken(className));
--- a/node/src/test/java/hookweir/net/TestNode.java
+++ b/node/src/test/java/hookweir/net/TestNode.java
@@ -97,7 +97,12 @@
 
     /** As above, with the deadline of the request class. */
     static TestNode withFrozenClock(String semantics, long deadlineUs) throws IOException {
-        return new TestNode(semantics, deadlineUs, false, null, "'sockets':128", "ask", true, true, true, null);
+        return withFrozenClock(semantics, deadlineUs, "'sockets':128");
+    }
+
+    /** The scheduler's clock is frozen from its start, with the given process limits, as JSON members with ' in place of ". */
+    static TestNode withFrozenClock(String semantics, long deadlineUs, String limits) throws IOException {
+        return new TestNode(semantics, deadlineUs, false, null, limits, "ask", true, true, true, null);
     }
 
     /** Attempts cannot be cancelled. */
