The soak plays short deadlines: its SIGKILL follows the deadline in force

RuleLimits.earliestKillMs is the one place of that figure in the lab; RandomStops sends the SIGKILL too.

--- a/lab/src/main/java/hookweir/lab/check/RuleLimits.java
+++ b/lab/src/main/java/hookweir/lab/check/RuleLimits.java
@@ -36,9 +36,23 @@
     public record KeyedClass(Scope scope, long windowMs) {
     }
 
+    private static final long MAX_COUNTED_DEADLINE_MS = 3000;
+    private static final long KILL_AFTER_DEADLINE_MS = 700;
+
+    /** The earliest SIGKILL, in ms after SIGTERM, where this is the longest deadline (PROTOCOL, "Figures"). */
+    public static long earliestKillMs(long longestDeadlineMs) {
+        return Math.min(longestDeadlineMs, MAX_COUNTED_DEADLINE_MS) + KILL_AFTER_DEADLINE_MS;
+    }
+
+    /** These limits, with another time from SIGTERM to the earliest SIGKILL. */
+    public RuleLimits withKillDelayMs(long ms) {
+        return new RuleLimits(recorded, neverTwice, keyed, maxAttempts, drainMs, slackMs, noticeDelayMs, termGraceMs, ms, coldFactor, coldWindowMs,
+            toleranceMs);
+    }
+
     /** The limits of the project's rules and protocol, with billing-post and load-order as the classes concerned. */
     public static RuleLimits defaults() {
         return new RuleLimits(false, Set.of("billing-post"), Map.of("load-order", new KeyedClass(Scope.ZONE, 40_000)), 5, 250, 50, 6000,
-            700, 3700, 3, 1000, 0);
+            700, earliestKillMs(MAX_COUNTED_DEADLINE_MS), 3, 1000, 0);
     }
 }
--- a/lab/src/main/java/hookweir/lab/lives/RandomStops.java
+++ b/lab/src/main/java/hookweir/lab/lives/RandomStops.java
@@ -4,6 +4,7 @@
 import hookweir.lab.check.Event;
 import hookweir.lab.check.HistoryReader;
 import hookweir.lab.check.RuleChecker;
+import hookweir.lab.check.RuleLimits;
 import hookweir.lab.load.LoadGenerator;
 import hookweir.lab.net.Ports;
 import hookweir.lab.net.Reactor;
@@ -19,6 +20,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import org.kohsuke.args4j.Option;
 import org.kohsuke.args4j.spi.StringArrayOptionHandler;
 
@@ -118,15 +120,16 @@
                     SchedulerProcess next = SchedulerProcess.start(Path.of(root), folder, socketHolder, port, i + 1, debugged, witness);
                     next.awaitReady();
                     scheduler.terminate();
-                    scheduler.awaitExit();
+                    awaitExitOrKill(scheduler, clients, earliestKillNs());
                     scheduler = next;
                     continue;
                 }
                 if (stop == Stop.TERM) {
                     scheduler.terminate();
+                    long killNs = earliestKillNs();
                     Thread.sleep(MIN_CONNECTING_AFTER_TERM_MS + random.nextInt(MIN_CONNECTING_AFTER_TERM_MS));
                     clients.forEach(c -> c.setConnectEnabled(false));
-                    scheduler.awaitExit();
+                    awaitExitOrKill(scheduler, clients, killNs);
                 } else {
                     clients.forEach(c -> c.setResendEnabled(false));
                     if (stop == Stop.KILL) {
@@ -155,6 +158,19 @@
         }
     }
 
+    private static long earliestKillNs() {
+        return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RuleLimits.earliestKillMs(PausableClient.DEADLINE_MS));
+    }
+
+    /** Sends the earliest permitted SIGKILL if the process has not ended by then. */
+    private static void awaitExitOrKill(SchedulerProcess scheduler, List<LoadGenerator> clients, long killNs) throws IOException, InterruptedException {
+        if (!scheduler.awaitExitUntil(killNs)) {
+            clients.forEach(c -> c.setResendEnabled(false));
+            scheduler.kill();
+            clients.forEach(c -> c.setResendEnabled(true));
+        }
+    }
+
     private LoadGenerator startClients(Reactor clientReactor, int port, String kind, Recorder witness) {
         LoadGenerator c = new LoadGenerator(clientReactor, StubWorkers.loopbackAddress(port), new LoadGenerator.Workload(clientsPerClass, 0, 16,
             PausableClient.DEADLINE_MS, kind), kind.substring(0, 1) + "-", witness);
--- a/lab/src/main/java/hookweir/lab/lives/Scenario.java
+++ b/lab/src/main/java/hookweir/lab/lives/Scenario.java
@@ -30,8 +30,8 @@
     static final List<String> KINDS = List.of("live-status", "billing-post", "load-order");
     /** The id of the job that is held at the point. */
     private static final String JOB_ID = "w1";
-    private static final long KILL_AFTER_TERM_MS = 3700;
     private static final long REACH_TIMEOUT_S = 20;
+    private static final int DESCRIPTORS = 256;
     private static final long RECORDER_RESOLUTION_MS = 20;
 
     /**
@@ -54,14 +54,19 @@
 
     /** The configuration of a scheduler with three job classes, one for each kind of repeat semantics, and two data centres. */
     static String config(int listServicePort, String knownServers) {
+        return config(listServicePort, knownServers, PausableClient.DEADLINE_MS, DESCRIPTORS);
+    }
+
+    /** As above, with the deadline of all classes and the number of descriptors. */
+    static String config(int listServicePort, String knownServers, long deadlineMs, int descriptors) {
         String classes = "";
         String[] semantics = {"read_like", "non_idempotent", "idempotency_key"};
         for (int i = 0; i < semantics.length; i++) {
-            classes += (i == 0 ? "" : ",") + "{'name':'" + KINDS.get(i) + "','aim_us':3000000,'deadline_us':" + PausableClient.DEADLINE_MS * 1000
+            classes += (i == 0 ? "" : ",") + "{'name':'" + KINDS.get(i) + "','aim_us':" + deadlineMs * 1000 / 2 + ",'deadline_us':" + deadlineMs * 1000
                 + ",'semantics':'" + semantics[i] + "','key_scope':'zone','window_us':40000000}";
         }
         return ("{'name':'" + SchedulerProcess.SCHEDULER_NAME + "','listen':'127.0.0.1:0','discovery':'127.0.0.1:" + listServicePort
-            + "','seed':'1','limits':{'sockets':256},'known':").replace('\'', '"') + knownServers
+            + "','seed':'1','limits':{'sockets':" + descriptors + "},'known':").replace('\'', '"') + knownServers
             + (",'settings':{'classes':[" + classes + "],'zones':['a','b'],'kinds':['m'],'discovery':'ask',"
             + "'rules':{'ask_within_us':10000000,'drain_grace_us':250000},'stats':{'via':'pull','fields':['x0']},"
             + "'limits':{'max_attempts':5,'probes':true,'cancel':true,'retry_after':true,'max_retry_after_us':1000000,"
@@ -201,13 +206,9 @@
                     first.awaitExit();
                 }
                 case TERM_THEN_KILL -> {
-                    long termNs = System.nanoTime();
                     first.terminate();
-                    Thread.sleep(Math.max(0, KILL_AFTER_TERM_MS + 20 - (System.nanoTime() - termNs) / 1_000_000));
-                    if (first.isAlive()) {
+                    if (!first.awaitExitUntil(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RuleLimits.earliestKillMs(PausableClient.DEADLINE_MS)))) {
                         first.kill();
-                    } else {
-                        first.awaitExit();
                     }
                 }
                 case SUCCESSOR -> {
--- a/lab/src/main/java/hookweir/lab/lives/SchedulerProcess.java
+++ b/lab/src/main/java/hookweir/lab/lives/SchedulerProcess.java
@@ -186,6 +186,24 @@
         witness.accept(Event.of(Type.LIFE, "", "", historyName).how("exit"));
     }
 
+    /**
+     * Waits until the process has ended by itself, and records that.
+     *
+     * @param untilNs the end of the wait, by {@link System#nanoTime}
+     * @return whether it has ended
+     */
+    boolean awaitExitUntil(long untilNs) throws IOException, InterruptedException {
+        try {
+            process.onExit().get(Math.max(0, untilNs - System.nanoTime()), TimeUnit.NANOSECONDS);
+        } catch (TimeoutException e) {
+            return false;
+        } catch (ExecutionException e) {
+            throw new IOException("the process can't be watched: " + e, e);
+        }
+        witness.accept(Event.of(Type.LIFE, "", "", historyName).how("exit"));
+        return true;
+    }
+
     private void awaitProcessEnd() throws IOException {
         try {
             process.onExit().get(EXIT_TIMEOUT_S, TimeUnit.SECONDS);
--- a/lab/src/main/java/hookweir/lab/lives/Stop.java
+++ b/lab/src/main/java/hookweir/lab/lives/Stop.java
@@ -6,7 +6,7 @@
 public enum Stop {
     /** SIGKILL. */
     KILL,
-    /** SIGTERM while all stubs stay paused, and SIGKILL 3.7 s later. */
+    /** SIGTERM while all stubs stay paused, and SIGKILL as early as is permitted. */
     TERM_THEN_KILL,
     /** SIGTERM, after which the stubs continue; the process exits by itself. */
     TERM,
--- a/lab/src/main/java/hookweir/lab/standin/StubWorkers.java
+++ b/lab/src/main/java/hookweir/lab/standin/StubWorkers.java
@@ -32,6 +32,8 @@
     public static final String SCHEDULER_NAME = "n1";
 
     private static final String EMPTY_BODY = "Content-Length: 0\r\n\r\n";
+    private static final String ACCEPTED = "HTTP/1.1 202 Accepted\r\n" + EMPTY_BODY;
+    private static final String DECLINED = "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\n" + EMPTY_BODY;
 
     private final Reactor reactor;
     private final long serviceNs;
@@ -45,7 +47,7 @@
     /** Time from a job's end to the response to its callback, in µs. */
     private final Histogram callbackLatencyUs = new ConcurrentHistogram(TimeUnit.MINUTES.toMicros(2), 3);
     private InetSocketAddress scheduler;
-    private volatile boolean hangJobs;
+    private volatile JobHandling jobHandling = JobHandling.SERVE;
     private volatile long jobsStarted;
     private volatile long probes;
     private volatile long probeBytes;
@@ -99,9 +101,9 @@
         });
     }
 
-    /** While on, workers accept jobs and never end them. May be called from any thread. */
-    public void setHangJobs(boolean on) {
-        hangJobs = on;
+    /** Sets what workers do with the jobs that they receive from now on. May be called from any thread. */
+    public void setJobHandling(JobHandling handling) {
+        jobHandling = handling;
     }
 
     /** Attempts received so far. */
@@ -165,6 +167,8 @@
         /** Ids of the jobs that this worker received, kept only if events are recorded. */
         private final Set<String> receivedIds;
         private boolean counted;
+        /** The job on this connection that was neither accepted nor declined, or null. */
+        private String unansweredId;
 
         WorkerConnection(String name, int[] busySlots, Set<String> receivedIds) {
             this.name = name;
@@ -190,16 +194,7 @@
                     receivedIds.add(id);
                     events.accept(Event.of(Type.ATTEMPT, id, name, SCHEDULER_NAME).checksum(Checksums.forwarded(head, header(head, "Idempotency-Key"), body)));
                 }
-                busySlots[0]++;
-                write("HTTP/1.1 202 Accepted\r\n" + EMPTY_BODY);
-                if (hangJobs) {
-                    return; // accepted, and never ended
-                }
-                if (serviceNs == 0) {
-                    finishJob(id);
-                } else {
-                    reactor.schedule(System.nanoTime() + serviceNs, () -> finishJob(id));
-                }
+                handleJob(id);
             } else if (head.startsWith("GET ")) {
                 probes++;
                 probeBytes += head.length();
@@ -214,6 +209,32 @@
             }
         }
 
+        private void handleJob(String id) {
+            switch (jobHandling) {
+                case SERVE -> {
+                    busySlots[0]++;
+                    write(ACCEPTED);
+                    if (serviceNs == 0) {
+                        finishJob(id);
+                    } else {
+                        reactor.schedule(System.nanoTime() + serviceNs, () -> finishJob(id));
+                    }
+                }
+                case HANG -> {
+                    busySlots[0]++;
+                    write(ACCEPTED);
+                }
+                case NO_RESPONSE -> unansweredId = id;
+                case DECLINE -> {
+                    if (events.isEnabled()) {
+                        events.accept(Event.end(id, name, "refused", ""));
+                    }
+                    write(DECLINED);
+                }
+                default -> throw new IllegalStateException(jobHandling.toString());
+            }
+        }
+
         private void finishJob(String id) {
             busySlots[0]--;
             if (events.isEnabled()) {
@@ -234,7 +255,10 @@
 
         @Override
         protected void onClosed() {
-            // its jobs still end, as those of real workers do
+            // Accepted jobs still end, as those of real workers do. The end of the connection gives up one that was not.
+            if (unansweredId != null && events.isEnabled()) {
+                events.accept(Event.of(Type.CANCEL, unansweredId, name, ""));
+            }
         }
     }
 
