--- a/lab/src/main/java/hookweir/lab/lives/Soak.java
+++ b/lab/src/main/java/hookweir/lab/lives/Soak.java
@@ -212,7 +212,7 @@
                 }
             }
             for (SlowClient client : slowClients) {
-                client.join(SETTLE_TIMEOUT_MS);
+                client.join(Math.max(1, end - System.currentTimeMillis()));
             }
         }
     }
