--- a/node/src/main/java/hookweir/net/Shutdown.java
+++ b/node/src/main/java/hookweir/net/Shutdown.java
@@ -102,10 +102,11 @@
         if (respondByTimer != null) {
             respondByTimer.cancel();
         }
-        respondByTimer = loop.schedule(us - loop.nowUs(), this::endTime);
+        respondByTimer = loop.schedule(us - loop.nowUs(), this::respondByReached);
     }
 
-    private void endTime() {
+    /** Every request that the module has got its response by now; what it does not know yet is refused here. */
+    private void respondByReached() {
         timeOver = true;
         admission.endClaims();
         server.refuseUnfinishedJobs();
--- a/node/src/main/java/hookweir/net/server/ConnectionSweeper.java
+++ b/node/src/main/java/hookweir/net/server/ConnectionSweeper.java
@@ -80,15 +80,16 @@
 
     /**
      * Refuses the jobs that are being received, as there is no time left to answer them once they are complete. Connections with unanswered
-     * requests are left until these have their responses, and those that have not shown yet whether they carry a job or a worker's callback
-     * until they do: any response to a callback would end its repetition.
+     * requests are left until these have their responses. Those that have not shown yet whether they carry a job or a worker's callback are
+     * left until they do, or their first request is overdue: any response to a callback would end its repetition.
      */
     void refuseUnfinishedJobs() {
+        long now = loop.nowUs();
         for (InboundConnection connection : connections.snapshot()) {
             if (connection.isClosing() || !connection.isIdle()) {
                 continue;
             }
-            if (connection.isIdleKeepAlive()) {
+            if (connection.mayClose(now)) {
                 closer.close(connection, CloseReason.SENT_AWAY);
             } else if (admission.isReceivingJob(connection)) {
                 admission.rejectUnfinished(connection);
--- a/node/src/test/java/hookweir/net/ShortDeadlineShutdownTest.java
+++ b/node/src/test/java/hookweir/net/ShortDeadlineShutdownTest.java
@@ -243,6 +243,27 @@
         }
     }
 
+    /** A connection without any input kept the process until the next sweep, which could be after the earliest SIGKILL. */
+    @ParameterizedTest
+    @CsvSource({"300", "1500"})
+    void connectionWithOverdueRequestIsClosedAtTheEnd(long deadlineMs) throws Exception {
+        try (TestNode node = start("read_like", deadlineMs)) {
+            Socket hung = node.connect(); // not in a try block, as the test closes it
+            Socket worker = sendHungJob(node, hung, "i0", 10_000);
+            drain(node);
+            advanceMs(node, earliestKillMs(deadlineMs) - 570);
+            try (Socket silent = node.connect()) {
+                node.awaitIoRounds();
+                advanceMs(node, 460);
+                silent.setSoTimeout(1_000);
+                assertEquals(-1, silent.getInputStream().read());
+            }
+            hung.close();
+            worker.close();
+            assertEnds(node, 110);
+        }
+    }
+
     /** Requests that a client sent at once all have their responses, one after the other. */
     @Test
     void requestsThatWaitBehindAHungOneAreRefusedAtTheEnd() throws Exception {
