Soak: half of the slow requests are whole at any time up to the SIGKILL

They were spread over 2 s, so that few met the last moments of a short shutdown. The first part of a slow request has its request line, as a client's first write has. PolicyShutdownTest states in one place what 'sent' and 'rejected' mean.

--- a/core/src/test/java/hookweir/PolicyShutdownTest.java
+++ b/core/src/test/java/hookweir/PolicyShutdownTest.java
@@ -41,6 +41,13 @@
         host.policy.attemptEnded(host.now, id, 0, WORKER, Outcome.OK, serviceUs, true, null);
     }
 
+    /** Accepts a request, which has to be sent to the worker (1) or rejected at once (0). */
+    private void assertSent(int sent, int id, long costHintUs) {
+        accept(id, costHintUs);
+        assertEquals(sent, host.countActions("send " + id));
+        assertEquals(1 - sent, host.countActions("reject " + id));
+    }
+
     private int responses(int id) {
         return host.countActions("reject " + id) + host.countActions("fail " + id);
     }
@@ -68,9 +75,7 @@
         serve(1, serviceUs);
         startShutdown();
         host.advance(arrivalUs);
-        accept(2, 0);
-        assertEquals(sent, host.countActions("send 2"));
-        assertEquals(1 - sent, host.countActions("reject 2"));
+        assertSent(sent, 2, 0);
     }
 
     /** A job that can't be refused any more once it was sent needs as much time as its hint says; another one may run on a fast worker. */
@@ -80,9 +85,7 @@
         start(idempotency);
         startShutdown();
         host.advance(WINDOW_US - 500_000);
-        accept(1, hintUs);
-        assertEquals(sent, host.countActions("send 1"));
-        assertEquals(1 - sent, host.countActions("reject 1"));
+        assertSent(sent, 1, hintUs);
     }
 
     /** Nothing is known of the class: a job that may be refused later is tried, another one only if there is time for the usual job. */
@@ -92,9 +95,7 @@
         start(idempotency);
         startShutdown();
         host.advance(arrivalUs);
-        accept(1, 0);
-        assertEquals(sent, host.countActions("send 1"));
-        assertEquals(1 - sent, host.countActions("reject 1"));
+        assertSent(sent, 1, 0);
     }
 
     /** Requests that become whole between the last response and SIGKILL. */
@@ -104,9 +105,7 @@
         start(idempotency);
         startShutdown();
         host.advance(WINDOW_US + 100_000);
-        accept(1, 0);
-        assertEquals(1, host.countActions("reject 1"));
-        assertEquals(0, host.countActions("send"));
+        assertSent(0, 1, 0);
     }
 
     /** A reload during the shutdown leaves less time, or none. */
--- a/lab/src/main/java/hookweir/lab/lives/ShutdownPlan.java
+++ b/lab/src/main/java/hookweir/lab/lives/ShutdownPlan.java
@@ -50,14 +50,20 @@
         JobHandling failure = JobHandling.values()[1 + random.nextInt(JobHandling.values().length - 1)];
         int descriptors = DESCRIPTORS[random.nextInt(DESCRIPTORS.length)];
         boolean upgrade = random.nextDouble() < UPGRADE_PROBABILITY;
+        ShutdownPlan plan = new ShutdownPlan(deadlineMs, reload, reloadedMs, workersFail ? failure : JobHandling.SERVE, descriptors, upgrade, List.of());
         List<SlowRequest> slow = new ArrayList<>();
         int count = random.nextInt(MAX_SLOW_REQUESTS);
         for (int i = 0; i < count; i++) {
-            int connectMs = random.nextInt(CONNECTED_BEFORE_MS + frontMs) - CONNECTED_BEFORE_MS;
-            slow.add(new SlowRequest(connectMs, connectMs + random.nextInt(MAX_WRITING_MS), Scenario.KINDS.get(random.nextInt(Scenario.KINDS.size()))));
+            slow.add(slowRequest(random, frontMs, plan.earliestKillMs()));
         }
-        return new ShutdownPlan(deadlineMs, reload, reloadedMs, workersFail ? failure : JobHandling.SERVE, descriptors, upgrade,
-            List.copyOf(slow));
+        return new ShutdownPlan(deadlineMs, reload, reloadedMs, plan.workers, descriptors, upgrade, List.copyOf(slow));
+    }
+
+    /** Half of the requests become complete at any time up to the earliest SIGKILL. */
+    private static SlowRequest slowRequest(Random random, int frontMs, long killMs) {
+        int connectMs = random.nextInt(CONNECTED_BEFORE_MS + frontMs) - CONNECTED_BEFORE_MS;
+        int maxWritingMs = random.nextBoolean() ? MAX_WRITING_MS : (int) Math.min(MAX_WRITING_MS, killMs - connectMs);
+        return new SlowRequest(connectMs, connectMs + random.nextInt(maxWritingMs), Scenario.KINDS.get(random.nextInt(Scenario.KINDS.size())));
     }
 
     /** The time from SIGTERM to the earliest SIGKILL; the shorter one where the deadlines change in between. */
--- a/lab/src/main/java/hookweir/lab/lives/SlowClient.java
+++ b/lab/src/main/java/hookweir/lab/lives/SlowClient.java
@@ -16,6 +16,8 @@
  * the client has a response by then.
  */
 final class SlowClient extends Thread {
+    /** The first part of a request contains it. */
+    private static final String REQUEST_LINE = "POST /api/7f3a HTTP/1.1\r\n";
     private static final String BODY = "work to be done";
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     /** The client waits slightly longer than its deadline, so that a response sent in time is still read. */
@@ -42,7 +44,7 @@
         this.connectNs = connectNs;
         this.completeNs = completeNs;
         this.witness = witness;
-        request = "POST /api/7f3a HTTP/1.1\r\nHost: app.svc\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind + "\r\nReq-Deadline-Ms: " + deadlineMs
+        request = REQUEST_LINE + "Host: app.svc\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind + "\r\nReq-Deadline-Ms: " + deadlineMs
             + "\r\nIdempotency-Key: " + key() + "\r\nContent-Length: " + BODY.length() + "\r\n\r\n" + BODY;
     }
 
@@ -56,7 +58,7 @@
             sleepUntil(connectNs);
             socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), CONNECT_TIMEOUT_MS);
             socket.setTcpNoDelay(true);
-            int half = Math.floorMod(id.hashCode(), request.length());
+            int half = REQUEST_LINE.length() + Math.floorMod(id.hashCode(), request.length() - REQUEST_LINE.length());
             BlockingHttp.write(socket, request.substring(0, half));
             sleepUntil(completeNs);
             if (!hasInput(socket)) {
