Lab: callbacks of stub workers are a class of their own

No behaviour changes: every response is recorded, one without a callback included. RandomStopsTest green.

--- a/lab/src/main/java/hookweir/lab/standin/StubWorkers.java
+++ b/lab/src/main/java/hookweir/lab/standin/StubWorkers.java
@@ -10,14 +10,10 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
-import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -26,8 +22,6 @@
  */
 public final class StubWorkers {
     private static final long HEARTBEAT_NS = 2_000_000_000L;
-    private static final int MAX_CALLBACK_ATTEMPTS = 10;
-    private static final long CALLBACK_RETRY_DELAY_NS = 100_000_000L;
     /** The name of the scheduler under test in histories. */
     public static final String SCHEDULER_NAME = "n1";
 
@@ -40,13 +34,9 @@
     private final byte[] result;
     private final int slots;
     private final List<Integer> ports = new ArrayList<>();
-    private final Deque<CallbackConnection> idleCallbackConnections = new ArrayDeque<>();
     private final Set<String> receivedJobIds = new HashSet<>();
     private final EventSink events;
-    private final boolean freshCallbackConnections;
-    /** Time from a job's end to the response to its callback, in µs. */
-    private final Histogram callbackLatencyUs = new ConcurrentHistogram(TimeUnit.MINUTES.toMicros(2), 3);
-    private InetSocketAddress scheduler;
+    private final StubCallbacks callbacks;
     private volatile JobHandling jobHandling = JobHandling.SERVE;
     private volatile long jobsStarted;
     private volatile long probes;
@@ -55,7 +45,6 @@
     private volatile long usedConnections;
     private volatile long probeConnections;
     private volatile long repeatedAttempts;
-    private volatile long droppedCallbacks;
 
     /**
      * Starts the workers.
@@ -72,7 +61,7 @@
             throws IOException {
         this.reactor = reactor;
         this.events = events;
-        this.freshCallbackConnections = freshCallbackConnections;
+        callbacks = new StubCallbacks(reactor, freshCallbackConnections, events);
         this.serviceNs = serviceNs;
         this.slots = slots;
         result = "r".repeat(resultBytes).getBytes(StandardCharsets.US_ASCII);
@@ -95,8 +84,7 @@
     /** Sets the scheduler that callbacks are sent to. */
     public void setScheduler(InetSocketAddress newScheduler) {
         reactor.post(() -> {
-            scheduler = newScheduler;
-            idleCallbackConnections.clear();
+            callbacks.setScheduler(newScheduler);
             receivedJobIds.clear();
         });
     }
@@ -143,12 +131,12 @@
 
     /** Time from each job's end to the response to its callback, in µs. */
     public Histogram callbackLatencyUs() {
-        return callbackLatencyUs;
+        return callbacks.latencyUs();
     }
 
     /** Callbacks abandoned without a response. */
     public long droppedCallbacks() {
-        return droppedCallbacks;
+        return callbacks.dropped();
     }
 
     /** The worker list, in the list service's JSON format. */
@@ -240,17 +228,7 @@
             if (events.isEnabled()) {
                 events.accept(Event.end(id, name, "done", Checksums.body(result)));
             }
-            String head = "{\"id\":\"" + id + "\",\"from\":\"" + name + "\",\"state\":\"done\",\"result\":\"";
-            CallbackConnection connection = freshCallbackConnections ? null : idleCallbackConnections.pollFirst();
-            while (connection != null && connection.isClosed()) {
-                connection = idleCallbackConnections.pollFirst();
-            }
-            if (connection == null) {
-                connection = new CallbackConnection();
-                reactor.connect(scheduler, connection);
-            }
-            connection.jobEndNs = System.nanoTime();
-            connection.send(id, name, head, result);
+            callbacks.sendDone(id, name, result);
         }
 
         @Override
@@ -262,58 +240,6 @@
         }
     }
 
-    /** A connection for callbacks. */
-    private final class CallbackConnection extends HttpConnection {
-        private boolean awaitingResponse;
-        private int failedAttempts;
-        private long jobEndNs;
-        private String id;
-        private String worker;
-        private String head;
-        private byte[] result;
-
-        void send(String jobId, String workerName, String newHead, byte[] newResult) {
-            id = jobId;
-            worker = workerName;
-            head = newHead;
-            result = newResult;
-            awaitingResponse = true;
-            write("POST /callback HTTP/1.1\r\nHost: s\r\nContent-Type: application/json\r\nContent-Length: " + (head.length() + result.length + 2)
-                + "\r\n\r\n" + head + new String(result, StandardCharsets.US_ASCII) + "\"}");
-        }
-
-        @Override
-        protected void onMessage(String head, byte[] body) {
-            awaitingResponse = false;
-            failedAttempts = 0;
-            if (events.isEnabled()) {
-                events.accept(Event.of(Type.CALL, id, worker, "").number(Integer.parseInt(head.substring(9, 12))));
-            }
-            callbackLatencyUs.recordValue(Math.min(callbackLatencyUs.getHighestTrackableValue(), (System.nanoTime() - jobEndNs) / 1000));
-            if (freshCallbackConnections || head.contains("onnection: close")) {
-                close();
-            } else {
-                idleCallbackConnections.addFirst(this);
-            }
-        }
-
-        @Override
-        protected void onClosed() {
-            if (awaitingResponse && ++failedAttempts < MAX_CALLBACK_ATTEMPTS) {
-                // As the protocol requires: each callback is repeated until it gets a response, at most ten times.
-                CallbackConnection retry = new CallbackConnection();
-                retry.failedAttempts = failedAttempts;
-                retry.jobEndNs = jobEndNs;
-                reactor.schedule(System.nanoTime() + CALLBACK_RETRY_DELAY_NS, () -> {
-                    reactor.connect(scheduler, retry);
-                    retry.send(id, worker, head, result);
-                });
-            } else if (awaitingResponse) {
-                droppedCallbacks++;
-            }
-        }
-    }
-
     /** A connection of a client of the list service. */
     private final class ListConnection extends HttpConnection {
         @Override
